Serve one flow and one request end to end by separate processes

Six entry VMs, a fabric, backend servers, callers and the platform run as separate processes. The decisions are a library without input or output; actix services around it own the sockets and find each other by name. The testkit drives several engines under virtual time.

Before: nothing.

--- /dev/null
+++ b/emulator/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins for the parties around the load balancer: the fabric, callers,
+//! backend servers and the platform.
+
+pub mod address;
+pub mod backends;
+pub mod callers;
+pub mod fabric;
+pub mod packet;
+pub mod platform;
--- /dev/null
+++ b/src/command/mod.rs
@@ -0,0 +1,62 @@
+//! The command line.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+pub mod run;
+
+/// Exit code of a command that did what it was asked.
+pub const EXIT_OK: u8 = 0;
+/// Exit code of a command that failed.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code of a command line or settings file that makes no sense.
+pub const EXIT_USAGE: u8 = 2;
+
+/// The command line of `dragonflytrack`.
+#[derive(Debug, Options)]
+pub struct CommandLine {
+    /// Print this help.
+    #[options(help = "print help")]
+    help: bool,
+    /// The verb.
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// The verbs.
+#[derive(Debug, Options)]
+enum Command {
+    /// Run an entry VM.
+    #[options(help = "run an entry VM")]
+    Run(run::Run),
+    /// Print the version.
+    #[options(help = "print the version")]
+    Version(Version),
+}
+
+/// The options of `version`.
+#[derive(Debug, Options)]
+struct Version {}
+
+/// Does what the arguments of the process ask for.
+pub fn main() -> ExitCode {
+    let line = CommandLine::parse_args_default_or_exit();
+    let code = match line.command {
+        Some(Command::Run(args)) => run::run(&args),
+        Some(Command::Version(Version {})) => version(),
+        None => usage(),
+    };
+    ExitCode::from(code)
+}
+
+fn version() -> u8 {
+    println!("dragonflytrack {}", env!("CARGO_PKG_VERSION"));
+    EXIT_OK
+}
+
+fn usage() -> u8 {
+    eprintln!("usage: dragonflytrack VERB [OPTIONS]\n");
+    eprintln!("{}", CommandLine::command_list().unwrap_or_default());
+    EXIT_USAGE
+}
--- /dev/null
+++ b/src/core/configuration.rs
@@ -0,0 +1,168 @@
+//! The configuration of the load balancer: services, backend servers and data
+//! centres, as one generation.
+
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::core::names::{
+    BackendId,
+    DataCentreId,
+    Generation,
+    ServiceId, //
+};
+
+/// The transport protocol of a service.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Protocol {
+    /// TCP.
+    #[display("tcp")]
+    Tcp,
+    /// UDP.
+    #[display("udp")]
+    Udp,
+}
+
+/// A service that callers reach under one address.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// The unique name. HTTP requests carry it in their `Host` header.
+    pub name: ServiceId,
+    /// The destination address and port of the service's packets.
+    pub address: SocketAddr,
+    /// The transport protocol of the service's packets.
+    pub protocol: Protocol,
+}
+
+/// What operators have decided about a backend server.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum BackendState {
+    /// Takes new work.
+    #[default]
+    #[display("active")]
+    Active,
+    /// Keeps its established flows and takes no new work.
+    #[display("draining")]
+    Draining,
+}
+
+/// A backend server of one service.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Backend {
+    /// The unique name.
+    pub name: BackendId,
+    /// The service that it serves.
+    pub service: ServiceId,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreId,
+    /// The UDP address that takes encapsulated packets.
+    pub packets: SocketAddr,
+    /// The HTTP address that takes requests, health and load queries.
+    pub requests: SocketAddr,
+    /// The number of requests that it bears at once when warm.
+    pub slots: u32,
+    /// The number of open connections that it bears when warm.
+    pub connections: u32,
+    /// What operators have decided about it.
+    #[serde(default)]
+    pub state: BackendState,
+}
+
+/// What operators have decided about a data centre.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum DataCentreState {
+    /// Takes its full share of new work.
+    #[default]
+    #[display("in")]
+    In,
+    /// Gets no packets. Flows that end there are given up.
+    #[display("out")]
+    Out,
+    /// Takes a growing share of new work.
+    #[display("returning")]
+    Returning,
+}
+
+/// A data centre with its own entry VMs and backend servers.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DataCentre {
+    /// The unique name.
+    pub name: DataCentreId,
+    /// What operators have decided about it.
+    #[serde(default)]
+    pub state: DataCentreState,
+    /// The share of its weight that takes new work, in percent.
+    ///
+    /// Invariant: 100 when `state` is `In`, 0 when it is `Out`.
+    #[serde(default = "full_share")]
+    pub share: u8,
+}
+
+fn full_share() -> u8 {
+    100
+}
+
+/// All objects in force at one generation.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    /// The number of this configuration. Zero means that none is in force.
+    pub generation: Generation,
+    /// The services, sorted by name.
+    pub services: Vec<Service>,
+    /// The backend servers, sorted by name.
+    pub backends: Vec<Backend>,
+    /// The data centres, sorted by name.
+    pub data_centres: Vec<DataCentre>,
+}
+
+impl Configuration {
+    /// Returns the service called `name`.
+    pub fn service(&self, name: &ServiceId) -> Option<&Service> {
+        self.services.iter().find(|s| s.name == *name)
+    }
+
+    /// Returns the backend server called `name`.
+    pub fn backend(&self, name: &BackendId) -> Option<&Backend> {
+        self.backends.iter().find(|b| b.name == *name)
+    }
+
+    /// Returns the data centre called `name`.
+    pub fn data_centre(&self, name: &DataCentreId) -> Option<&DataCentre> {
+        self.data_centres.iter().find(|d| d.name == *name)
+    }
+
+    /// Returns the backend servers of `service`, whatever their state.
+    pub fn backends_of<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = &'a Backend> + 'a {
+        self.backends.iter().filter(move |b| b.service == *service)
+    }
+
+    /// Tells whether the data centre of `backend` gets no packets at all.
+    pub fn is_out(&self, backend: &Backend) -> bool {
+        self.data_centre(&backend.data_centre)
+            .is_some_and(|d| d.state == DataCentreState::Out)
+    }
+
+    /// Returns the share of its full weight that `backend` takes of new work,
+    /// in percent.
+    pub fn new_work_share(&self, backend: &Backend) -> u8 {
+        if backend.state == BackendState::Draining {
+            return 0;
+        }
+        self.data_centre(&backend.data_centre)
+            .map_or(0, |d| d.share)
+    }
+}
--- /dev/null
+++ b/src/core/counter.rs
@@ -0,0 +1,80 @@
+//! Counters of what was decided, one for each refusal and each retry reason.
+
+macro_rules! counters {
+    ($($variant:ident, $name:literal, $help:literal;)*) => {
+        /// A decision that is counted.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum Counter {
+            $(#[doc = $help] $variant,)*
+        }
+
+        impl Counter {
+            /// All counters, in the order of their declaration.
+            pub const ALL: &'static [Counter] = &[$(Counter::$variant,)*];
+
+            /// Returns the metric's name, without the project's prefix.
+            pub fn name(self) -> &'static str {
+                match self { $(Counter::$variant => $name,)* }
+            }
+
+            /// Returns the metric's help text.
+            pub fn help(self) -> &'static str {
+                match self { $(Counter::$variant => $help,)* }
+            }
+        }
+    };
+}
+
+counters! {
+    // Flows.
+    PacketForwarded, "packets_forwarded", "Packets sent to a backend server.";
+    PacketMalformed, "packets_malformed", "Packets dropped because they could not be decoded.";
+    PacketUnknownService, "packets_unknown_service", "Packets dropped because no service has their address.";
+    PacketRelayed, "packets_relayed", "Packets relayed to another VM.";
+    FlowOpened, "flows_opened", "New flows assigned to a backend server.";
+    FlowRefused, "flows_refused", "New flows refused because no backend server can take them.";
+    FlowBroken, "flows_broken", "Established flows that lost their backend server.";
+    // Requests.
+    RequestAnswered, "requests_answered", "Requests answered by a backend server.";
+    RequestRefusedNoSlot, "requests_refused_no_slot", "Requests refused because every slot was busy.";
+    RequestRefusedNoService, "requests_refused_no_service", "Requests refused because no service has their name.";
+    RequestRefusedStopping, "requests_refused_stopping", "Requests refused because the VM is stopping.";
+    RequestUnknown, "requests_outcome_unknown", "Requests whose outcome could not be learnt.";
+    // Capacity.
+    // Intents and configuration.
+    // Peers.
+    PeerMalformed, "peer_messages_malformed", "Messages of peers dropped because they could not be decoded.";
+    PeerOverflow, "peer_messages_overflow", "Messages to peers dropped because a queue was full.";
+}
+
+/// The counts of one process.
+#[derive(Clone, Debug)]
+pub struct Counters {
+    /// Invariant: one entry for each variant, indexed by its discriminant.
+    counts: Vec<u64>,
+}
+
+impl Default for Counters {
+    fn default() -> Counters {
+        Counters {
+            counts: vec![0; Counter::ALL.len()],
+        }
+    }
+}
+
+impl Counters {
+    /// Adds one to `counter`.
+    pub fn add(&mut self, counter: Counter) {
+        self.add_many(counter, 1);
+    }
+
+    /// Adds `n` to `counter`.
+    pub fn add_many(&mut self, counter: Counter, n: u64) {
+        self.counts[counter as usize] += n;
+    }
+
+    /// Returns the count of `counter`.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.counts[counter as usize]
+    }
+}
--- /dev/null
+++ b/src/core/notice.rs
@@ -0,0 +1,61 @@
+//! Numbered events for the log. `docs/EVENTS.md` lists the same numbers.
+
+macro_rules! notices {
+    ($($number:literal $variant:ident $level:ident $text:literal;)*) => {
+        /// An event that operators may see in the log.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum Notice {
+            $(#[doc = $text] $variant,)*
+        }
+
+        impl Notice {
+            /// All events, in the order of their numbers.
+            pub const ALL: &'static [Notice] = &[$(Notice::$variant,)*];
+
+            /// Returns the number of the event.
+            pub fn number(self) -> u16 {
+                match self { $(Notice::$variant => $number,)* }
+            }
+
+            /// Returns the text of the event.
+            pub fn text(self) -> &'static str {
+                match self { $(Notice::$variant => $text,)* }
+            }
+
+            /// Returns how serious the event is.
+            pub fn level(self) -> Level {
+                match self { $(Notice::$variant => Level::$level,)* }
+            }
+        }
+    };
+}
+
+/// How serious an event is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Level {
+    /// An operator has to act.
+    Error,
+    /// An operator should look.
+    Warn,
+    /// Ordinary operation.
+    Info,
+}
+
+notices! {
+    // 1000: the process.
+    1001 Started Info "The process has started.";
+    1002 Stopping Info "A planned stop has begun.";
+    1003 Stopped Info "The planned stop is complete.";
+    // 2000: membership.
+    2001 PeerJoined Info "A VM has joined the view.";
+    2002 PeerSuspected Warn "A VM is suspected because its heartbeats stopped.";
+    2003 PeerLost Warn "A VM has left the view.";
+    // 3000: configuration.
+    3001 ConfigurationApplied Info "A configuration is in force.";
+    3002 ConfigurationRefused Error "A configuration object was refused.";
+    3003 PlatformUnreachable Warn "The platform does not answer.";
+    3004 PlatformReachable Info "The platform answers again.";
+    // 4000: flows.
+    // 5000: requests.
+    // 6000: capacity.
+}
--- /dev/null
+++ b/src/edge/admin.rs
@@ -0,0 +1,166 @@
+//! Calls of operators, metrics and health probes, over HTTP.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+};
+
+use actix::{
+    Actor,
+    Context,
+    Handler,
+    Recipient, //
+};
+use actix_web::{
+    App,
+    HttpResponse,
+    HttpServer,
+    dev::ServerHandle,
+    http::StatusCode,
+    web, //
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    core::{
+        engine::Event,
+        intent::{
+            AdminCall,
+            AdminCallId,
+            AdminOp,
+            AdminReply, //
+        },
+    },
+    edge::{
+        engine::{
+            GetHealth,
+            HEALTH, //
+        },
+        mailbox::{
+            ADMIN,
+            AdminOut,
+            ENGINE,
+            EngineEvent, //
+        },
+    },
+    kernel::registry::Registry,
+};
+
+type Waiting = Arc<Mutex<HashMap<AdminCallId, oneshot::Sender<AdminReply>>>>;
+
+/// The service that answers operators.
+pub struct Admin {
+    waiting: Waiting,
+}
+
+/// What the HTTP handlers share.
+#[derive(Clone)]
+struct Shared {
+    engine: Recipient<EngineEvent>,
+    health: Recipient<GetHealth>,
+    waiting: Waiting,
+    next_call: Arc<AtomicU64>,
+}
+
+impl Admin {
+    /// Binds the address for operators and starts the service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound or the engine is not registered.
+    pub fn bind(address: SocketAddr, registry: &Registry) -> io::Result<ServerHandle> {
+        let waiting = Waiting::default();
+        let shared = Shared {
+            engine: registry.find(ENGINE).map_err(io::Error::other)?,
+            health: registry.find(HEALTH).map_err(io::Error::other)?,
+            waiting: Arc::clone(&waiting),
+            next_call: Arc::default(),
+        };
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(web::Data::new(shared.clone()))
+                .route("/healthz", web::get().to(healthz))
+                .route("/readyz", web::get().to(readyz))
+                .route("/metrics", web::get().to(metrics))
+                .route("/v1/status", web::get().to(status))
+        })
+        .workers(1)
+        .disable_signals()
+        .bind(address)?
+        .run();
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        registry.register(ADMIN, Admin { waiting }.start().recipient::<AdminOut>());
+        Ok(handle)
+    }
+}
+
+impl Actor for Admin {
+    type Context = Context<Admin>;
+}
+
+impl Handler<AdminOut> for Admin {
+    type Result = ();
+
+    fn handle(&mut self, msg: AdminOut, _cx: &mut Context<Admin>) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(tx) = waiting.remove(&msg.0.id) {
+            // The operator may have gone meanwhile.
+            let _ = tx.send(msg.0);
+        }
+    }
+}
+
+async fn healthz() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn readyz(shared: web::Data<Shared>) -> HttpResponse {
+    match shared.health.send(GetHealth).await {
+        Ok(health) if health.ready => HttpResponse::Ok().body("ready\n"),
+        _ => HttpResponse::ServiceUnavailable().body("no configuration is in force yet\n"),
+    }
+}
+
+async fn metrics(shared: web::Data<Shared>) -> HttpResponse {
+    match shared.health.send(GetHealth).await {
+        Ok(health) => HttpResponse::Ok()
+            .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+            .body(health.metrics),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn status(shared: web::Data<Shared>) -> HttpResponse {
+    ask(&shared, AdminOp::Status).await
+}
+
+async fn ask(shared: &Shared, op: AdminOp) -> HttpResponse {
+    let id = AdminCallId(shared.next_call.fetch_add(1, Ordering::Relaxed));
+    let (tx, rx) = oneshot::channel();
+    shared
+        .waiting
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .insert(id, tx);
+    shared
+        .engine
+        .do_send(EngineEvent(Event::Admin(AdminCall { id, op })));
+    match rx.await {
+        Ok(reply) => reply_with(reply),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+fn reply_with(reply: AdminReply) -> HttpResponse {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    HttpResponse::build(status).json(reply.body)
+}
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,12 @@
+//! The sockets. Each module speaks to one outside party, as a service that the
+//! others find by name.
+
+pub mod admin;
+pub mod backends;
+pub mod callers;
+pub mod engine;
+pub mod fabric;
+pub mod gue;
+pub mod mailbox;
+pub mod peers;
+pub mod platform;
--- /dev/null
+++ b/src/kernel/clock.rs
@@ -0,0 +1,164 @@
+//! The clock of the system, in milliseconds.
+
+use std::{
+    ops::{
+        Add,
+        AddAssign,
+        Sub, //
+    },
+    time::{
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use derive_more::Display;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// A point in monotonic time: milliseconds since the process started.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}ms")]
+pub struct Time(pub u64);
+
+/// A span of time in milliseconds.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}ms")]
+pub struct Millis(pub u64);
+
+/// A wall-clock time: milliseconds since the Unix epoch.
+///
+/// Only deadlines that cross a process boundary use it. Order within a process
+/// comes from [`Time`], which never steps.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}ms")]
+pub struct WallTime(pub u64);
+
+impl Time {
+    /// Returns the span since `earlier`, or zero if `earlier` is in the future.
+    pub fn since(self, earlier: Time) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl WallTime {
+    /// Returns the span since `earlier`, or zero if `earlier` is in the future.
+    pub fn since(self, earlier: WallTime) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Millis {
+    /// Returns a span of `n` seconds.
+    pub const fn from_secs(n: u64) -> Millis {
+        Millis(n * 1_000)
+    }
+}
+
+impl Add<Millis> for Time {
+    type Output = Time;
+
+    fn add(self, span: Millis) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl AddAssign<Millis> for Time {
+    fn add_assign(&mut self, span: Millis) {
+        *self = *self + span;
+    }
+}
+
+impl Sub<Millis> for Time {
+    type Output = Time;
+
+    fn sub(self, span: Millis) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Add<Millis> for WallTime {
+    type Output = WallTime;
+
+    fn add(self, span: Millis) -> WallTime {
+        WallTime(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Millis> for WallTime {
+    type Output = WallTime;
+
+    fn sub(self, span: Millis) -> WallTime {
+        WallTime(self.0.saturating_sub(span.0))
+    }
+}
+
+/// The source of time of one process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    /// Starts a clock whose [`Time`] begins at zero.
+    pub fn start() -> Clock {
+        Clock {
+            started: Instant::now(),
+        }
+    }
+
+    /// Returns the monotonic time.
+    pub fn now(&self) -> Time {
+        Time(self.started.elapsed().as_millis() as u64)
+    }
+
+    /// Returns the wall-clock time.
+    pub fn wall(&self) -> WallTime {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        WallTime(since_epoch.as_millis() as u64)
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! The `dragonflytrack` command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    dragonflytrack::command::main()
+}
--- /dev/null
+++ b/testkit/src/backend.rs
@@ -0,0 +1,118 @@
+//! A backend server: slots, cold start, deadlines and a record of its runs.
+
+use std::{
+    collections::HashSet,
+    net::SocketAddr, //
+};
+
+use bytes::Bytes;
+use dragonflytrack::{
+    core::{
+        names::BackendId,
+        request::{
+            Attempt,
+            AttemptOutcome,
+            Headers,
+            HttpResponse,
+            NotRunReason, //
+        },
+    },
+    kernel::clock::{
+        Millis,
+        Time,
+        WallTime, //
+    },
+};
+
+/// One run of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Run {
+    /// When it began.
+    pub at: Time,
+    /// The method and path of the request.
+    pub request: String,
+    /// The body of the request.
+    pub body: Bytes,
+}
+
+/// A backend server.
+#[derive(Clone, Debug)]
+pub struct FakeBackend {
+    /// The name.
+    pub name: BackendId,
+    /// The address for packets.
+    pub packets: SocketAddr,
+    /// The address for requests.
+    pub requests: SocketAddr,
+    /// Whether it runs. A dead one refuses connections.
+    pub alive: bool,
+    /// How many requests it bears at once now; more make it shed.
+    pub allowance: u32,
+    /// How long a request takes.
+    pub service_time: Millis,
+    /// How many requests run now.
+    pub running: u32,
+    /// The most requests that were ever offered at once.
+    pub most_offered: u32,
+    /// All runs.
+    pub runs: Vec<Run>,
+    /// The callers' addresses of the flows that were opened here.
+    pub flows: HashSet<SocketAddr>,
+    /// How many packets came for a flow that was not opened here.
+    pub strange_packets: u64,
+}
+
+/// What a backend server does with a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Reaction {
+    /// Answers at once.
+    AtOnce(AttemptOutcome),
+    /// Runs the request and answers after a while.
+    After(Millis, AttemptOutcome),
+}
+
+impl FakeBackend {
+    /// Takes in a request.
+    pub fn on_request(&mut self, now: Time, wall: WallTime, attempt: &Attempt) -> Reaction {
+        if !self.alive {
+            return Reaction::AtOnce(AttemptOutcome::NotRun(NotRunReason::NotConnected));
+        }
+        if wall > attempt.deadline {
+            return Reaction::AtOnce(AttemptOutcome::NotRun(NotRunReason::DeadlinePassed));
+        }
+        self.most_offered = self.most_offered.max(self.running + 1);
+        if self.running >= self.allowance {
+            return Reaction::AtOnce(AttemptOutcome::NotRun(NotRunReason::Shed));
+        }
+        self.running += 1;
+        self.runs.push(Run {
+            at: now,
+            request: format!("{} {}", attempt.request.method, attempt.request.path),
+            body: attempt.request.body.clone(),
+        });
+        let response = HttpResponse {
+            status: 200,
+            headers: Headers::new(),
+            body: attempt.request.body.clone(),
+        };
+        Reaction::After(self.service_time, AttemptOutcome::Answered(response))
+    }
+
+    /// Ends one run.
+    pub fn finish(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Takes in a packet of the caller at `source`. Returns whether the flow
+    /// was opened here.
+    pub fn on_packet(&mut self, source: SocketAddr, opens: bool) -> bool {
+        if opens {
+            self.flows.insert(source);
+        }
+        let known = self.flows.contains(&source);
+        if !known {
+            self.strange_packets += 1;
+        }
+        known
+    }
+}
--- /dev/null
+++ b/testkit/src/fleet.rs
@@ -0,0 +1,644 @@
+//! Several engines under virtual time.
+
+use std::{
+    cmp::Reverse,
+    collections::{
+        BinaryHeap,
+        HashMap, //
+    },
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+};
+
+use bytes::Bytes;
+use dragonflytrack::{
+    core::{
+        Action, Engine, Event,
+        configuration::Configuration,
+        flow::{
+            Packet,
+            PacketSource, //
+        },
+        intent::{
+            AdminReply,
+            CONFIGURATION_KEY,
+            PlatformCall,
+            PlatformCallId,
+            PlatformOp,
+            PlatformOutcome, //
+        },
+        membership::{
+            Seed,
+            Vm, //
+        },
+        message::Envelope,
+        names::{
+            DataCentreId,
+            Incarnation,
+            VmId, //
+        },
+        notice::Notice,
+        request::{
+            Answer,
+            Attempt,
+            AttemptId,
+            AttemptOutcome,
+            Call,
+            CallId, //
+        },
+    },
+    kernel::clock::{
+        Millis,
+        Time,
+        WallTime, //
+    },
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+
+use crate::{
+    backend::{
+        FakeBackend,
+        Reaction, //
+    },
+    links::Links,
+    platform::{
+        FakePlatform,
+        Weather, //
+    },
+};
+
+/// The name of the platform on [`Links`].
+pub const PLATFORM: &str = "platform";
+
+/// How often an engine is told that time has passed.
+const TICK: Millis = Millis(10);
+
+/// The wall-clock time at which virtual time is zero.
+const EPOCH: WallTime = WallTime(1_800_000_000_000);
+
+/// One VM of the fleet.
+pub struct Node {
+    /// The VM.
+    pub vm: Vm,
+    /// Its decisions. `None` while the process does not run.
+    pub engine: Option<Engine>,
+    /// While set, events wait.
+    pub frozen_until: Option<Time>,
+    /// Added to the wall clock that the engine sees.
+    pub clock_step: Millis,
+    waiting: Vec<Event>,
+    /// Bytes of messages to other VMs.
+    pub control_bytes: u64,
+    /// Messages to other VMs.
+    pub control_messages: u64,
+}
+
+/// A final answer to a caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answered {
+    /// When.
+    pub at: Time,
+    /// By which VM.
+    pub vm: usize,
+    /// The call at that VM.
+    pub call: CallId,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// A packet that reached a backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Delivered {
+    /// When.
+    pub at: Time,
+    /// The backend server, as an index.
+    pub backend: usize,
+    /// The packet.
+    pub packet: Packet,
+    /// Whether the flow had been opened at that backend server.
+    pub known: bool,
+}
+
+/// A log event of an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Noted {
+    /// When.
+    pub at: Time,
+    /// By which VM.
+    pub vm: usize,
+    /// The event.
+    pub notice: Notice,
+    /// What it is about.
+    pub detail: String,
+}
+
+enum Arrival {
+    Event(usize, Incarnation, Event),
+    Packet(SocketAddr, Bytes),
+    Request(usize, Incarnation, Attempt),
+    Finished(usize, usize, Incarnation, AttemptId, AttemptOutcome),
+    Platform(usize, Incarnation, PlatformCall),
+    PlatformAnswer(usize, Incarnation, PlatformCallId, PlatformOutcome),
+}
+
+struct Scheduled {
+    at: Time,
+    order: u64,
+    arrival: Arrival,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Scheduled) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// Several engines with the fakes around them.
+pub struct Fleet {
+    /// The virtual time.
+    pub now: Time,
+    /// The VMs.
+    pub nodes: Vec<Node>,
+    /// How messages travel.
+    pub links: Links,
+    /// The backend servers.
+    pub backends: Vec<FakeBackend>,
+    /// The platform.
+    pub platform: FakePlatform,
+    /// All final answers, in order.
+    pub answers: Vec<Answered>,
+    /// All packets that reached a backend server, in order.
+    pub delivered: Vec<Delivered>,
+    /// Packets that went back to callers, such as resets.
+    pub replies: Vec<(Time, Bytes)>,
+    /// All log events, in order.
+    pub notes: Vec<Noted>,
+    /// All answers to operators, in order.
+    pub admin_replies: Vec<(usize, AdminReply)>,
+    /// The source of random numbers.
+    pub rng: SmallRng,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    order: u64,
+    next_tick: Time,
+    watches: Vec<(usize, Incarnation, PlatformCall, Time)>,
+    by_packets: HashMap<SocketAddr, usize>,
+    by_requests: HashMap<SocketAddr, usize>,
+}
+
+impl Fleet {
+    /// Starts `vms_per_data_centre` VMs in each data centre of `cfg`, which is
+    /// the platform's configuration.
+    pub fn open(cfg: &Configuration, vms_per_data_centre: usize, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            now: Time(0),
+            nodes: Vec::new(),
+            links: Links::default(),
+            backends: Vec::new(),
+            platform: FakePlatform::default(),
+            answers: Vec::new(),
+            delivered: Vec::new(),
+            replies: Vec::new(),
+            notes: Vec::new(),
+            admin_replies: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            order: 0,
+            next_tick: Time(0),
+            watches: Vec::new(),
+            by_packets: HashMap::new(),
+            by_requests: HashMap::new(),
+        };
+        let value = serde_json::to_value(cfg).unwrap_or_default();
+        fleet.platform.force(CONFIGURATION_KEY, value);
+        for backend in &cfg.backends {
+            fleet.add_backend(backend);
+        }
+        for data_centre in &cfg.data_centres {
+            for _ in 0..vms_per_data_centre {
+                fleet.add_vm(&data_centre.name);
+            }
+        }
+        for at in 0..fleet.nodes.len() {
+            fleet.start(at);
+        }
+        fleet
+    }
+
+    /// Adds a backend server that is warm and runs.
+    pub fn add_backend(&mut self, backend: &dragonflytrack::core::configuration::Backend) {
+        const SERVICE_TIME: Millis = Millis(50);
+        let at = self.backends.len();
+        self.by_packets.insert(backend.packets, at);
+        self.by_requests.insert(backend.requests, at);
+        self.backends.push(FakeBackend {
+            name: backend.name.clone(),
+            packets: backend.packets,
+            requests: backend.requests,
+            alive: true,
+            allowance: backend.slots,
+            service_time: SERVICE_TIME,
+            running: 0,
+            most_offered: 0,
+            runs: Vec::new(),
+            flows: std::collections::HashSet::new(),
+            strange_packets: 0,
+        });
+    }
+
+    fn add_vm(&mut self, data_centre: &DataCentreId) {
+        const PEERS_PORT: u16 = 7_000;
+        const RELAY_PORT: u16 = 7_001;
+        let at = self.nodes.len();
+        let host = Ipv4Addr::new(10, 0, 0, at as u8 + 1);
+        self.nodes.push(Node {
+            vm: Vm {
+                id: VmId::new(format!("vm{at}")),
+                data_centre: data_centre.clone(),
+                incarnation: Incarnation(0),
+                peers: SocketAddr::from((host, PEERS_PORT)),
+                relay: SocketAddr::from((host, RELAY_PORT)),
+            },
+            engine: None,
+            frozen_until: None,
+            clock_step: Millis(0),
+            waiting: Vec::new(),
+            control_bytes: 0,
+            control_messages: 0,
+        });
+    }
+
+    /// Starts a new run of the VM `at`, with nothing kept.
+    pub fn start(&mut self, at: usize) {
+        let seeds = self
+            .nodes
+            .iter()
+            .map(|n| Seed {
+                id: n.vm.id.clone(),
+                peers: n.vm.peers,
+            })
+            .collect();
+        let seed = self.rng.random();
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        node.vm.incarnation = Incarnation(now.0.max(node.vm.incarnation.0) + 1);
+        node.frozen_until = None;
+        node.waiting.clear();
+        node.engine = Some(Engine::open(node.vm.clone(), seeds, seed, now));
+    }
+
+    /// Kills the VM `at`. Nothing that it knew is kept.
+    pub fn kill(&mut self, at: usize) {
+        self.nodes[at].engine = None;
+        self.nodes[at].waiting.clear();
+    }
+
+    /// Freezes the VM `at` for `span`. What arrives meanwhile waits.
+    pub fn freeze(&mut self, at: usize, span: Millis) {
+        self.nodes[at].frozen_until = Some(self.now + span);
+    }
+
+    /// Begins a planned stop of the VM `at`.
+    pub fn stop(&mut self, at: usize) {
+        self.event(at, Event::Stop);
+    }
+
+    /// Hands a packet from the fabric to the VM `at`.
+    pub fn packet(&mut self, at: usize, packet: Bytes) {
+        self.event(
+            at,
+            Event::Packet {
+                source: PacketSource::Fabric,
+                packet,
+            },
+        );
+    }
+
+    /// Hands a caller's request to the VM `at`.
+    pub fn call(&mut self, at: usize, call: Call) {
+        self.event(at, Event::Call(call));
+    }
+
+    /// Hands `event` to the VM `at` now.
+    pub fn event(&mut self, at: usize, event: Event) {
+        let now = self.now;
+        let wall = EPOCH + Millis(now.0);
+        let node = &mut self.nodes[at];
+        if node.frozen_until.is_some() {
+            if !matches!(event, Event::Tick) {
+                node.waiting.push(event);
+            }
+            return;
+        }
+        let wall = wall + node.clock_step;
+        let Some(engine) = &mut node.engine else {
+            return;
+        };
+        for action in engine.handle(now, wall, event) {
+            self.carry_out(at, action);
+        }
+    }
+
+    /// Lets `span` of virtual time pass.
+    pub fn run_for(&mut self, span: Millis) {
+        let end = self.now + span;
+        loop {
+            let next = self.queue.peek().map_or(end, |s| s.0.at);
+            let due = next.min(self.next_tick);
+            if due > end {
+                break;
+            }
+            self.now = due;
+            if self.next_tick <= due {
+                self.tick();
+                continue;
+            }
+            let Some(Reverse(scheduled)) = self.queue.pop() else {
+                break;
+            };
+            self.arrive(scheduled.arrival);
+        }
+        self.now = end;
+    }
+
+    fn tick(&mut self) {
+        self.next_tick = self.now + TICK;
+        self.expire_watches();
+        for at in 0..self.nodes.len() {
+            self.thaw(at);
+            self.event(at, Event::Tick);
+        }
+    }
+
+    fn thaw(&mut self, at: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        if node.frozen_until.is_none_or(|until| until > now) {
+            return;
+        }
+        node.frozen_until = None;
+        for event in std::mem::take(&mut node.waiting) {
+            self.event(at, event);
+        }
+    }
+
+    fn schedule(&mut self, delay: Millis, arrival: Arrival) {
+        self.order += 1;
+        self.queue.push(Reverse(Scheduled {
+            at: self.now + delay,
+            order: self.order,
+            arrival,
+        }));
+    }
+
+    fn arrive(&mut self, arrival: Arrival) {
+        match arrival {
+            Arrival::Event(at, run, event) => self.event_for_run(at, run, event),
+            Arrival::Packet(to, packet) => self.packet_at_backend(to, &packet),
+            Arrival::Request(at, run, attempt) => self.request_at_backend(at, run, &attempt),
+            Arrival::Finished(backend, at, run, id, outcome) => {
+                self.backends[backend].finish();
+                self.answer_attempt(backend, at, run, id, outcome);
+            }
+            Arrival::Platform(at, run, call) => self.call_at_platform(at, run, call),
+            Arrival::PlatformAnswer(at, run, id, outcome) => {
+                self.event_for_run(at, run, Event::PlatformDone(id, outcome));
+            }
+        }
+    }
+
+    fn event_for_run(&mut self, at: usize, run: Incarnation, event: Event) {
+        if self.nodes[at].vm.incarnation == run {
+            self.event(at, event);
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, action: Action) {
+        let run = self.nodes[at].vm.incarnation;
+        match action {
+            Action::Forward { to, packet } => {
+                let name = self.backend_name(self.by_packets.get(&to).copied());
+                for delay in self.copies(at, &name) {
+                    self.schedule(delay, Arrival::Packet(to, packet.clone()));
+                }
+            }
+            Action::Relay { to, packet } => {
+                let event = Event::Packet {
+                    source: PacketSource::Peer,
+                    packet,
+                };
+                self.deliver(at, &to, &event);
+            }
+            Action::Reply { packet } => self.replies.push((self.now, packet)),
+            Action::Peer { to, msg } => {
+                let node = &mut self.nodes[at];
+                let known = node.engine.as_ref().and_then(|e| e.view().member(&to));
+                let envelope = Envelope {
+                    from: node.vm.id.clone(),
+                    incarnation: run,
+                    to_incarnation: known.map(|m| m.vm.incarnation).unwrap_or_default(),
+                    msg,
+                };
+                node.control_messages += 1;
+                node.control_bytes += envelope.encoded_len() as u64;
+                self.deliver(at, &to, &Event::Peer(envelope));
+            }
+            Action::Attempt(attempt) => self.send_attempt(at, run, attempt),
+            Action::CancelAttempt(_) => {}
+            Action::Answer { call, answer } => self.answers.push(Answered {
+                at: self.now,
+                vm: at,
+                call,
+                answer,
+            }),
+            Action::Platform(call) => self.send_platform(at, run, call),
+            Action::Admin(reply) => self.admin_replies.push((at, reply)),
+            Action::Note { notice, detail } => self.notes.push(Noted {
+                at: self.now,
+                vm: at,
+                notice,
+                detail,
+            }),
+        }
+    }
+
+    fn copies(&mut self, from: usize, to: &str) -> Vec<Millis> {
+        let from = self.nodes[from].vm.id.clone();
+        self.links.copies(&mut self.rng, from.as_str(), to)
+    }
+
+    fn backend_name(&self, backend: Option<usize>) -> String {
+        backend.map_or_else(String::new, |b| self.backends[b].name.to_string())
+    }
+
+    fn deliver(&mut self, from: usize, to: &VmId, event: &Event) {
+        let Some(at) = self.nodes.iter().position(|n| n.vm.id == *to) else {
+            return;
+        };
+        let run = self.nodes[at].vm.incarnation;
+        let void = matches!(event, Event::Peer(e)
+            if e.to_incarnation != Incarnation::default() && e.to_incarnation != run);
+        if void {
+            return;
+        }
+        for delay in self.copies(from, to.as_str()) {
+            self.schedule(delay, Arrival::Event(at, run, event.clone()));
+        }
+    }
+
+    fn packet_at_backend(&mut self, to: SocketAddr, packet: &Bytes) {
+        let Some(at) = self.by_packets.get(&to).copied() else {
+            return;
+        };
+        let Some(packet) = Packet::parse(packet) else {
+            return;
+        };
+        if !self.backends[at].alive {
+            return;
+        }
+        let known = self.backends[at].on_packet(packet.source, packet.opens_flow());
+        self.delivered.push(Delivered {
+            at: self.now,
+            backend: at,
+            packet,
+            known,
+        });
+    }
+
+    fn send_attempt(&mut self, at: usize, run: Incarnation, attempt: Attempt) {
+        let name = self.backend_name(self.by_requests.get(&attempt.to).copied());
+        let timeout =
+            AttemptOutcome::Unknown(dragonflytrack::core::request::UnknownReason::Timeout);
+        let done = Event::AttemptDone(attempt.id, timeout);
+        self.schedule(attempt.timeout, Arrival::Event(at, run, done));
+        // HTTP over TCP neither loses nor repeats a request on its own.
+        if let Some(delay) = self.copies(at, &name).first().copied() {
+            self.schedule(delay, Arrival::Request(at, run, attempt));
+        }
+    }
+
+    fn request_at_backend(&mut self, at: usize, run: Incarnation, attempt: &Attempt) {
+        let Some(backend) = self.by_requests.get(&attempt.to).copied() else {
+            return;
+        };
+        let wall = EPOCH + Millis(self.now.0);
+        let id = attempt.id;
+        match self.backends[backend].on_request(self.now, wall, attempt) {
+            Reaction::AtOnce(outcome) => self.answer_attempt(backend, at, run, id, outcome),
+            Reaction::After(span, outcome) => {
+                self.schedule(span, Arrival::Finished(backend, at, run, id, outcome));
+            }
+        }
+    }
+
+    fn answer_attempt(
+        &mut self,
+        backend: usize,
+        at: usize,
+        run: Incarnation,
+        id: AttemptId,
+        outcome: AttemptOutcome,
+    ) {
+        let from = self.backends[backend].name.to_string();
+        let to = self.nodes[at].vm.id.to_string();
+        let copies = self.links.copies(&mut self.rng, &from, &to);
+        if let Some(delay) = copies.first().copied() {
+            let event = Event::AttemptDone(id, outcome);
+            self.schedule(delay, Arrival::Event(at, run, event));
+        }
+    }
+
+    fn send_platform(&mut self, at: usize, run: Incarnation, call: PlatformCall) {
+        const NO_ANSWER_AFTER: Millis = Millis::from_secs(5);
+        let watch_time = match &call.op {
+            PlatformOp::Watch { timeout, .. } => *timeout,
+            _ => Millis(0),
+        };
+        let no_answer = Arrival::PlatformAnswer(at, run, call.id, PlatformOutcome::NoAnswer);
+        self.schedule(Millis(watch_time.0 + NO_ANSWER_AFTER.0), no_answer);
+        if let Some(delay) = self.copies(at, PLATFORM).first().copied() {
+            self.schedule(delay, Arrival::Platform(at, run, call));
+        }
+    }
+
+    fn call_at_platform(&mut self, at: usize, run: Incarnation, call: PlatformCall) {
+        self.platform.calls += 1;
+        if self.platform.weather == Weather::Down {
+            return;
+        }
+        match self.platform.carry_out(&call.op) {
+            Some(outcome) => {
+                self.answer_platform(at, run, call.id, outcome);
+                self.wake_watches();
+            }
+            None => {
+                let PlatformOp::Watch { timeout, .. } = &call.op else {
+                    return;
+                };
+                let until = self.now + *timeout;
+                self.watches.push((at, run, call, until));
+            }
+        }
+    }
+
+    fn answer_platform(
+        &mut self,
+        at: usize,
+        run: Incarnation,
+        id: PlatformCallId,
+        outcome: PlatformOutcome,
+    ) {
+        let slowness = match self.platform.weather {
+            Weather::Slow(span) => span,
+            Weather::AnswersLost | Weather::Down => return,
+            Weather::Fair => Millis(0),
+        };
+        let to = self.nodes[at].vm.id.to_string();
+        let copies = self.links.copies(&mut self.rng, PLATFORM, &to);
+        if let Some(delay) = copies.first().copied() {
+            let answer = Arrival::PlatformAnswer(at, run, id, outcome);
+            self.schedule(Millis(delay.0 + slowness.0), answer);
+        }
+    }
+
+    /// Answers the watches whose objects have changed.
+    pub fn wake_watches(&mut self) {
+        for (at, run, call, until) in std::mem::take(&mut self.watches) {
+            match self.platform.carry_out(&call.op) {
+                Some(outcome) => self.answer_platform(at, run, call.id, outcome),
+                None => self.watches.push((at, run, call, until)),
+            }
+        }
+    }
+
+    fn expire_watches(&mut self) {
+        let now = self.now;
+        let (expired, open) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|(_, _, _, until)| *until <= now);
+        self.watches = open;
+        let expired: Vec<_> = expired;
+        for (at, run, call, _) in expired {
+            self.answer_platform(at, run, call.id, PlatformOutcome::Unchanged);
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/packet.rs
@@ -0,0 +1,55 @@
+//! IP packets of callers.
+
+use std::net::{
+    Ipv4Addr,
+    SocketAddr,
+    SocketAddrV4, //
+};
+
+use bytes::Bytes;
+use etherparse::PacketBuilder;
+
+/// What kind of TCP segment to build.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Opens a flow.
+    Syn,
+    /// Carries on with a flow.
+    Data,
+    /// Ends a flow.
+    Fin,
+}
+
+/// The address of the caller's flow number `n`.
+pub fn caller(n: u32) -> SocketAddrV4 {
+    const FLOWS_PER_ADDRESS: u32 = 50_000;
+    const FIRST_PORT: u32 = 10_000;
+    let host = Ipv4Addr::from(0x0a00_0001 + n / FLOWS_PER_ADDRESS);
+    SocketAddrV4::new(host, (FIRST_PORT + n % FLOWS_PER_ADDRESS) as u16)
+}
+
+/// Builds a TCP segment from `source` to the service at `destination`.
+///
+/// # Panics
+///
+/// Panics if `destination` is not an IPv4 address.
+pub fn tcp(source: SocketAddrV4, destination: SocketAddr, kind: Kind) -> Bytes {
+    let SocketAddr::V4(destination) = destination else {
+        panic!("the fake callers speak IPv4");
+    };
+    let builder = PacketBuilder::ipv4(source.ip().octets(), destination.ip().octets(), 64).tcp(
+        source.port(),
+        destination.port(),
+        1,
+        1_024,
+    );
+    let builder = match kind {
+        Kind::Syn => builder.syn(),
+        Kind::Data => builder.ack(1),
+        Kind::Fin => builder.fin().ack(1),
+    };
+    let mut buf = Vec::new();
+    // Writing into a vector cannot fail.
+    let _ = builder.write(&mut buf, &[]);
+    Bytes::from(buf)
+}
