Run the whole path as separate processes in a test

The load tool and the stand-ins could only say that a fixed list of flows and requests passed, in sequence, so that nothing could be changed or killed meanwhile. Callers now keep flows open and send requests side by side for a given time and compare what they were told with the backend servers' own records: doubled runs, false "not run", crossed answers. The fabric follows a list of live entry VMs and carries refusals back to their callers.

testkit::process starts entry VMs and stand-ins on a loopback address of the test's own, on ports found by binding port 0, and kills them at drop.

--- /dev/null
+++ b/emulator/src/callers/flows.rs
@@ -0,0 +1,192 @@
+//! Flows that callers keep open.
+
+use std::{
+    io,
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_rt::{
+    net::UdpSocket,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+use futures_util::future::join_all;
+
+use super::{
+    Load,
+    intents::is_taken_out, //
+};
+use crate::packet::{
+    self,
+    Echo,
+    Payload, //
+};
+
+/// How long after its last packet a flow sends the next.
+const PACKET_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How long a caller waits for an answer before it sends a packet again.
+const RETRANSMIT_INTERVAL: Duration = Duration::from_millis(300);
+
+/// How long a caller goes on sending one packet.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// How a flow ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum FlowEnd {
+    /// It reached one backend server from first to last packet.
+    Kept,
+    /// It lost its backend server.
+    Broken(String),
+    /// Operators took out the data centre that it ended in.
+    GivenUp,
+    /// It was refused when it opened.
+    Refused,
+}
+
+/// What came back for a packet.
+enum Reply {
+    Echo(Echo),
+    Refused,
+    Nothing,
+}
+
+struct Flow<'a> {
+    load: &'a Load,
+    number: u16,
+    source: SocketAddrV4,
+    service: SocketAddrV4,
+    socket: UdpSocket,
+    reply_to: SocketAddr,
+}
+
+/// Keeps all flows of the load and returns how each ended.
+pub(super) async fn run(load: &Load) -> Vec<FlowEnd> {
+    let started = Instant::now();
+    let mut flows = Vec::new();
+    let mut number = 0;
+    for service in &load.cfg.services {
+        for at in 0..load.flows {
+            let wait = opening(load, at);
+            flows.push(one_flow(load, number, service.address, wait, started));
+            number += 1;
+        }
+    }
+    join_all(flows).await
+}
+
+/// Returns when a flow opens: half of them open within the first second, the
+/// others over two thirds of the time.
+fn opening(load: &Load, at: u16) -> Duration {
+    let share = f64::from(at / 2) * 2.0 / f64::from(load.flows);
+    if at.is_multiple_of(2) {
+        Duration::from_secs(1).mul_f64(share)
+    } else {
+        load.duration.mul_f64(share * 2.0 / 3.0)
+    }
+}
+
+async fn one_flow(
+    load: &Load,
+    number: u16,
+    service: SocketAddr,
+    wait: Duration,
+    started: Instant,
+) -> FlowEnd {
+    sleep(wait).await;
+    match Flow::bind(load, number, service).await {
+        Ok(flow) => flow.run(started).await,
+        Err(e) => FlowEnd::Broken(format!("no socket: {e}")),
+    }
+}
+
+impl Flow<'_> {
+    async fn bind(load: &Load, number: u16, service: SocketAddr) -> io::Result<Flow<'_>> {
+        let SocketAddr::V4(service) = service else {
+            return Err(io::Error::other("the service's address must be IPv4"));
+        };
+        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+        Ok(Flow {
+            load,
+            number,
+            source: packet::caller_address(load.host, number),
+            service,
+            reply_to: socket.local_addr()?,
+            socket,
+        })
+    }
+
+    async fn run(&self, started: Instant) -> FlowEnd {
+        let Reply::Echo(first) = self.exchange(0).await else {
+            return FlowEnd::Refused;
+        };
+        let owner = first.backend;
+        let mut number = 1;
+        while started.elapsed() < self.load.duration {
+            sleep(PACKET_INTERVAL).await;
+            let fault = match self.exchange(number).await {
+                Reply::Echo(echo) if echo.backend == owner && echo.known => None,
+                Reply::Echo(echo) => Some(format!("it moved to {}", echo.backend)),
+                Reply::Refused => Some("it was reset".to_owned()),
+                Reply::Nothing => Some("no answer came".to_owned()),
+            };
+            if let Some(fault) = fault {
+                return self.ended(&owner, &fault).await;
+            }
+            number += 1;
+        }
+        FlowEnd::Kept
+    }
+
+    async fn ended(&self, owner: &str, fault: &str) -> FlowEnd {
+        if is_taken_out(self.load.platform, owner).await {
+            return FlowEnd::GivenUp;
+        }
+        FlowEnd::Broken(format!("{} of {owner}: {fault}", self.source))
+    }
+
+    /// Sends a packet until it is answered.
+    async fn exchange(&self, number: u32) -> Reply {
+        let payload = Payload {
+            reply_to: self.reply_to,
+            flow: self.number,
+            packet: number,
+        };
+        let datagram = packet::build(self.source, self.service, number == 0, &payload);
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            let _ = self.socket.send_to(&datagram, self.load.fabric).await;
+            let reply = timeout(RETRANSMIT_INTERVAL, self.receive(number)).await;
+            if let Ok(reply) = reply {
+                return reply;
+            }
+        }
+        Reply::Nothing
+    }
+
+    /// Waits for the answer to a packet. Answers to earlier ones are ignored.
+    async fn receive(&self, number: u32) -> Reply {
+        let mut buf = [0u8; 2_048];
+        loop {
+            let Ok((len, _)) = self.socket.recv_from(&mut buf).await else {
+                continue;
+            };
+            if let Ok(echo) = serde_json::from_slice::<Echo>(&buf[..len]) {
+                if echo.packet == number {
+                    return Reply::Echo(echo);
+                }
+            } else if packet::is_refusal(&buf[..len]) {
+                return Reply::Refused;
+            }
+        }
+    }
+}
--- a/emulator/src/fabric.rs
+++ b/emulator/src/fabric.rs
@@ -1,8 +1,20 @@
 //! A fabric that hands each packet to any of the entry VMs.
 
 use std::{
+    collections::HashMap,
+    fs,
     io,
-    net::SocketAddr, //
+    net::SocketAddr,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration, //
 };
 
 use actix_rt::net::UdpSocket;
@@ -12,21 +24,99 @@
     seq::IndexedRandom, //
 };
 
-/// Sprays the datagrams that arrive at `listen` over `vms`.
+use crate::packet;
+
+/// How often the list of entry VMs is read again.
+const LIST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The addresses and the list of entry VMs of a fabric.
+#[derive(Clone, Debug)]
+pub struct Fabric {
+    /// The address for callers.
+    pub listen: SocketAddr,
+    /// The address for packets that go back to callers.
+    pub replies: SocketAddr,
+    /// A file that lists the address of each live entry VM on a line.
+    pub list: PathBuf,
+}
+
+/// What the tasks of a fabric share.
+#[derive(Default)]
+struct Shared {
+    vms: Mutex<Vec<SocketAddr>>,
+    /// Maps a caller's inner address to its socket.
+    callers: Mutex<HashMap<SocketAddr, SocketAddr>>,
+}
+
+/// Sprays the datagrams of callers over the entry VMs, at random.
 ///
 /// # Errors
 ///
-/// Fails if `listen` cannot be bound.
-pub async fn serve(listen: SocketAddr, vms: &[SocketAddr]) -> io::Result<()> {
-    let socket = UdpSocket::bind(listen).await?;
+/// Fails if an address cannot be bound or the list cannot be read.
+pub async fn serve(fabric: &Fabric) -> io::Result<()> {
+    let shared = Arc::new(Shared {
+        vms: Mutex::new(read_list(&fabric.list)?),
+        ..Shared::default()
+    });
+    let socket = Arc::new(UdpSocket::bind(fabric.listen).await?);
+    let replies = UdpSocket::bind(fabric.replies).await?;
+    actix_rt::spawn(follow_list(Arc::clone(&shared), fabric.list.clone()));
+    actix_rt::spawn(return_replies(
+        Arc::clone(&shared),
+        replies,
+        Arc::clone(&socket),
+    ));
+    spray(&shared, &socket).await
+}
+
+async fn spray(shared: &Shared, socket: &UdpSocket) -> io::Result<()> {
     let mut rng = SmallRng::seed_from_u64(1);
     let mut buf = vec![0u8; 65_536];
     loop {
-        let Ok((len, _)) = socket.recv_from(&mut buf).await else {
+        let Ok((len, caller)) = socket.recv_from(&mut buf).await else {
+            continue;
+        };
+        let datagram = &buf[..len];
+        if let Some((source, _)) = packet::endpoints(datagram) {
+            lock(&shared.callers).insert(source, caller);
+        }
+        let vm = lock(&shared.vms).choose(&mut rng).copied();
+        if let Some(vm) = vm {
+            let _ = socket.try_send_to(datagram, vm);
+        }
+    }
+}
+
+async fn return_replies(shared: Arc<Shared>, replies: UdpSocket, socket: Arc<UdpSocket>) {
+    let mut buf = vec![0u8; 65_536];
+    loop {
+        let Ok((len, _)) = replies.recv_from(&mut buf).await else {
             continue;
         };
-        if let Some(vm) = vms.choose(&mut rng) {
-            let _ = socket.try_send_to(&buf[..len], *vm);
+        let Some((_, destination)) = packet::endpoints(&buf[..len]) else {
+            continue;
+        };
+        let caller = lock(&shared.callers).get(&destination).copied();
+        if let Some(caller) = caller {
+            let _ = socket.try_send_to(&buf[..len], caller);
+        }
+    }
+}
+
+async fn follow_list(shared: Arc<Shared>, list: PathBuf) {
+    loop {
+        actix_rt::time::sleep(LIST_INTERVAL).await;
+        if let Ok(vms) = read_list(&list) {
+            *lock(&shared.vms) = vms;
         }
     }
 }
+
+fn read_list(list: &Path) -> io::Result<Vec<SocketAddr>> {
+    let text = fs::read_to_string(list)?;
+    Ok(text.lines().filter_map(|line| line.parse().ok()).collect())
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -4,6 +4,9 @@
 pub mod address;
 pub mod backends;
 pub mod callers;
+pub mod configuration;
+pub mod configure;
 pub mod fabric;
 pub mod packet;
 pub mod platform;
+pub mod receipt;
--- a/emulator/src/packet.rs
+++ b/emulator/src/packet.rs
@@ -7,6 +7,7 @@
 };
 
 use etherparse::{
+    NetSlice,
     PacketBuilder,
     SlicedPacket,
     TransportSlice, //
@@ -45,8 +46,10 @@
 /// A TCP segment as a backend server reads it.
 #[derive(Clone, Debug)]
 pub struct Segment {
-    /// The caller's port in the inner packet.
-    pub source_port: u16,
+    /// The caller's address in the inner packet.
+    pub source: SocketAddr,
+    /// The service's address in the inner packet.
+    pub destination: SocketAddr,
     /// Whether it opens a flow.
     pub syn: bool,
     /// The payload.
@@ -72,20 +75,57 @@
 
 /// Reads an encapsulated TCP segment.
 pub fn read(datagram: &[u8]) -> Option<Segment> {
-    let inner = datagram.get(GUE_HEADER.len()..)?;
-    let sliced = SlicedPacket::from_ip(inner).ok()?;
-    let Some(TransportSlice::Tcp(tcp)) = sliced.transport else {
+    let sliced = slice(datagram)?;
+    let Some(TransportSlice::Tcp(tcp)) = &sliced.transport else {
         return None;
     };
+    let (source, destination) = addresses(&sliced)?;
     Some(Segment {
-        source_port: tcp.source_port(),
+        source,
+        destination,
         syn: tcp.syn(),
         payload: serde_json::from_slice(tcp.payload()).ok()?,
     })
 }
 
-/// The inner source address of a caller's flow.
-pub fn caller_address(flow: u16) -> SocketAddrV4 {
+/// Returns the source and the destination of an encapsulated packet.
+pub fn endpoints(datagram: &[u8]) -> Option<(SocketAddr, SocketAddr)> {
+    addresses(&slice(datagram)?)
+}
+
+/// Tells whether a datagram is an encapsulated refusal: a TCP reset or an ICMP
+/// message.
+pub fn is_refusal(datagram: &[u8]) -> bool {
+    match slice(datagram).and_then(|sliced| sliced.transport) {
+        Some(TransportSlice::Tcp(tcp)) => tcp.rst(),
+        Some(TransportSlice::Icmpv4(_) | TransportSlice::Icmpv6(_)) => true,
+        _ => false,
+    }
+}
+
+fn slice(datagram: &[u8]) -> Option<SlicedPacket<'_>> {
+    let inner = datagram.get(GUE_HEADER.len()..)?;
+    SlicedPacket::from_ip(inner).ok()
+}
+
+fn addresses(sliced: &SlicedPacket<'_>) -> Option<(SocketAddr, SocketAddr)> {
+    let Some(NetSlice::Ipv4(ip)) = &sliced.net else {
+        return None;
+    };
+    let (source_port, destination_port) = match &sliced.transport {
+        Some(TransportSlice::Tcp(tcp)) => (tcp.source_port(), tcp.destination_port()),
+        Some(TransportSlice::Udp(udp)) => (udp.source_port(), udp.destination_port()),
+        _ => (0, 0),
+    };
+    let header = ip.header();
+    Some((
+        SocketAddr::from((header.source_addr(), source_port)),
+        SocketAddr::from((header.destination_addr(), destination_port)),
+    ))
+}
+
+/// The inner source address of a flow of the callers' host `host`.
+pub fn caller_address(host: u8, flow: u16) -> SocketAddrV4 {
     const FIRST_PORT: u16 = 10_000;
-    SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, 1), FIRST_PORT + flow)
+    SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, host), FIRST_PORT + flow)
 }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod links;
 pub mod packet;
 pub mod platform;
+pub mod process;
 pub mod sample;
 
 pub use backend::FakeBackend;
