Check the settings whole before anything starts

The reader stopped at the first problem, took unknown and duplicate keys in silence and knew no defaults, so that a misspelt key was found at run time or never. It now gathers all problems, each with section, key, value and remedy, refuses unknown and duplicate names, and finds addresses that clash.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,10 +1,18 @@
 //! The command line.
+//!
+//! | exit code | meaning |
+//! |---|---|
+//! | 0 | the command did what it was asked |
+//! | 1 | it failed while it ran |
+//! | 2 | the command line or the settings make no sense |
 
 use std::process::ExitCode;
 
 use gumdrop::Options;
 
+pub mod check;
 pub mod run;
+pub mod version;
 
 /// Exit code of a command that did what it was asked.
 pub const EXIT_OK: u8 = 0;
@@ -30,31 +38,26 @@
     /// Run an entry VM.
     #[options(help = "run an entry VM")]
     Run(run::Run),
+    /// Check a settings file.
+    #[options(help = "check a settings file")]
+    Check(check::Check),
     /// Print the version.
     #[options(help = "print the version")]
-    Version(Version),
+    Version(version::Version),
 }
 
-/// The options of `version`.
-#[derive(Debug, Options)]
-struct Version {}
-
 /// Does what the arguments of the process ask for.
 pub fn main() -> ExitCode {
     let line = CommandLine::parse_args_default_or_exit();
     let code = match line.command {
         Some(Command::Run(args)) => run::run(&args),
-        Some(Command::Version(Version {})) => version(),
+        Some(Command::Check(args)) => check::run(&args),
+        Some(Command::Version(args)) => version::run(&args),
         None => usage(),
     };
     ExitCode::from(code)
 }
 
-fn version() -> u8 {
-    println!("dragonflytrack {}", env!("CARGO_PKG_VERSION"));
-    EXIT_OK
-}
-
 fn usage() -> u8 {
     eprintln!("usage: dragonflytrack VERB [OPTIONS]\n");
     eprintln!("{}", CommandLine::command_list().unwrap_or_default());
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -66,7 +66,7 @@
     let settings = match Settings::load(&args.settings) {
         Ok(settings) => settings,
         Err(e) => {
-            eprintln!("{}: {e}", args.settings.display());
+            eprintln!("{}: cannot be used\n{e}", args.settings.display());
             return EXIT_USAGE;
         }
     };
--- /dev/null
+++ b/tests/settings_problems.rs
@@ -0,0 +1,136 @@
+//! Settings that make no sense are refused whole, with every problem named.
+
+use dragonflytrack::{
+    kernel::clock::Millis,
+    settings::{
+        Format,
+        Problem,
+        Settings,
+        SettingsError, //
+    },
+};
+use proptest::{
+    prelude::*,
+    test_runner::{
+        Config,
+        RngAlgorithm,
+        TestRng,
+        TestRunner, //
+    },
+};
+
+const SAMPLE: &str = include_str!("../samples/hu-central/bud-a-1.ini");
+
+/// Returns the problems of the sample after replacing `old` by `new`.
+fn problems(old: &str, new: &str) -> Vec<Problem> {
+    assert!(SAMPLE.contains(old));
+    match Settings::parse(&SAMPLE.replacen(old, new, 1)) {
+        Ok(_) => Vec::new(),
+        Err(SettingsError::Invalid { problems }) => problems,
+        Err(e) => panic!("{e}"),
+    }
+}
+
+fn only_text(old: &str, new: &str) -> String {
+    let problems = problems(old, new);
+    assert_eq!(problems.len(), 1, "{problems:?}");
+    problems[0].to_string()
+}
+
+#[test]
+fn optional_sections_have_defaults() {
+    let (required, _) = SAMPLE.split_once("; The sections below").unwrap();
+    let settings = Settings::parse(required).unwrap();
+    assert_eq!(settings.log.format, Format::Human);
+    assert_eq!(settings.stop_timeout, Millis::from_secs(30));
+    let mut sample = Settings::parse(SAMPLE).unwrap();
+    sample.log.modules.clear();
+    assert_eq!(settings, sample);
+}
+
+#[test]
+fn a_missing_key_is_named() {
+    assert_eq!(
+        only_text("callers = 127.20.1.1:8080\n", ""),
+        "[listen] callers is missing; write callers = IP:PORT with a port other than 0"
+    );
+}
+
+#[test]
+fn a_bad_value_is_named_with_its_remedy() {
+    assert_eq!(
+        only_text("admin = 127.20.1.1:9100", "admin = 127.20.1.1"),
+        "[listen] admin = \"127.20.1.1\" makes no sense; \
+         write IP:PORT with a port other than 0"
+    );
+    assert!(only_text("relay = 127.20.1.1:", "relay = 0.0.0.0:").contains("own IP address"));
+    assert!(only_text("timeout-ms = 30000", "timeout-ms = 0").contains("from 1 to 3600000"));
+    assert!(only_text("format = human", "format = xml").contains("human or json"));
+    assert!(only_text("edge.peers = info", "edge.peers = loud").contains("debug or trace"));
+    assert!(only_text("name = bud-a-1", "name = bud a").contains("hyphens"));
+}
+
+#[test]
+fn unknown_and_duplicate_names_are_refused() {
+    assert!(only_text("relay =", "relais = 1.2.3.4:5\nrelay =").contains("relais"));
+    assert!(only_text("[stop]", "[halt]\n[stop]").starts_with("[halt] is not a section"));
+    assert!(only_text("[stop]", "[log]\n[stop]").starts_with("[log] stands more than once"));
+    let twice = only_text("format = human", "format = human\nformat = json");
+    assert!(twice.starts_with("[log] format = \"json\" stands more than once"));
+    let outside = only_text("; The entry VM", "format = json\n; The entry VM");
+    assert!(outside.contains("stands in no section"));
+}
+
+#[test]
+fn clashing_addresses_are_found() {
+    let clash = only_text("relay = 127.20.1.1:6081", "relay = 127.20.1.1:6080");
+    assert!(clash.contains("clashes with [listen] fabric"), "{clash}");
+    let any = only_text("callers = 127.20.1.1:8080", "callers = 0.0.0.0:7100");
+    assert!(any.contains("clashes with"), "{any}");
+    let own = only_text("bud-a-1 = 127.20.1.1:7100", "bud-a-1 = 127.20.1.9:7100");
+    assert!(own.contains("[listen] peers"), "{own}");
+    let twice = only_text("bud-a-2 = 127.20.1.2", "bud-a-2 = 127.20.2.1");
+    assert!(twice.contains("[peers]"), "{twice}");
+}
+
+#[test]
+fn all_problems_are_reported_at_once() {
+    let found = problems(
+        "[platform]\naddress = 127.20.0.1:8090",
+        "[platfrom]\nport = 1",
+    );
+    let text = SettingsError::Invalid { problems: found }.to_string();
+    assert_eq!(text.lines().count(), 2, "{text}");
+    let everything = Settings::parse("").unwrap_err().to_string();
+    assert_eq!(everything.lines().count(), 9, "{everything}");
+}
+
+#[test]
+fn no_text_panics_the_reader() {
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let line = prop_oneof![
+        any::<String>(),
+        "\\[[a-z\\-]{0,9}\\]?",
+        "[a-z.\\-]{0,9} ?[=:] ?[ -~]{0,20}",
+        Just("[listen]".to_owned()),
+        Just("[log-levels]".to_owned()),
+        Just("peers = [::1]:7".to_owned()),
+        Just("key = \"open".to_owned()),
+        Just("key = \\".to_owned()),
+    ];
+    let text = prop::collection::vec(line, 0..20).prop_map(|lines| lines.join("\n"));
+    runner
+        .run(&text, |text| {
+            if let Err(e) = Settings::parse(&text) {
+                prop_assert!(!e.to_string().is_empty());
+            }
+            Ok(())
+        })
+        .unwrap();
+}
