Age the members of a view and notice pauses, restarts and one-way cuts

Cause: the first membership took any heartbeat for the truth and never aged a member, so a dead VM stayed in the view for ever.

Ruled out: leases in the platform (the renewal rate grows with the fleet) and gossip (not needed within a cell of 16 VMs).

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -94,11 +94,10 @@
         peers: settings.peers,
         relay: settings.relay,
     };
-    let incarnation = me.incarnation;
     EngineService::spawn(me, settings.seeds.clone(), clock, &registry);
     Backends::spawn(&registry).map_err(io::Error::other)?;
     Platform::spawn(settings.platform, &registry).map_err(io::Error::other)?;
-    Peers::bind(settings.peers, incarnation, &registry)?;
+    Peers::bind(settings.peers, &registry)?;
     Fabric::bind(settings.fabric, settings.relay, settings.replies, &registry).await?;
     let admin = Admin::bind(settings.admin, &registry)?;
     let callers = Callers::bind(settings.callers, clock, &registry)?;
--- a/src/core/counter.rs
+++ b/src/core/counter.rs
@@ -44,6 +44,9 @@
     // Intents and configuration.
     // Peers.
     PeerMalformed, "peer_messages_malformed", "Messages of peers dropped because they could not be decoded.";
+    PeerForEarlierRun, "peer_messages_for_earlier_run", "Messages of peers dropped because they were meant for an earlier run of this VM.";
+    PeerNameClash, "peer_name_clashes", "Heartbeats dropped because another VM uses this VM's name.";
+    PeerBeyondLimit, "peers_beyond_limit", "Heartbeats dropped because the view is full.";
     PeerOverflow, "peer_messages_overflow", "Messages to peers dropped because a queue was full.";
 }
 
--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -13,7 +13,10 @@
         action::Action,
         capacity::Capacity,
         configuration::Configuration,
-        counter::Counters,
+        counter::{
+            Counter,
+            Counters, //
+        },
         cx::Cx,
         flow::{
             Flows,
@@ -35,7 +38,10 @@
             Envelope,
             PeerMessage, //
         },
-        names::Generation,
+        names::{
+            Generation,
+            Incarnation, //
+        },
         notice::Notice,
         request::{
             AttemptId,
@@ -181,6 +187,7 @@
             out,
         };
         if cfg.generation != old_cfg.generation {
+            self.machines.membership.on_configuration(&mut cx);
             self.machines.flows.on_configuration(&mut cx);
             self.machines.capacity.on_configuration(&mut cx);
             self.machines
@@ -224,9 +231,13 @@
     }
 
     fn on_peer(&mut self, cx: &mut Cx<'_>, envelope: Envelope) {
+        if is_for_earlier_run(cx, &envelope) {
+            cx.count(Counter::PeerForEarlierRun);
+            return;
+        }
         let from = envelope.from;
         match envelope.msg {
-            PeerMessage::Membership(msg) => self.membership.on_message(cx, msg),
+            PeerMessage::Membership(msg) => self.membership.on_message(cx, &from, msg),
             PeerMessage::Intent(msg) => self.intents.on_message(cx, &from, msg),
             PeerMessage::Flow(msg) => self.flows.on_message(cx, &from, msg),
             PeerMessage::Capacity(msg) => {
@@ -247,3 +258,15 @@
         self.membership.leave(cx);
     }
 }
+
+/// Tells whether a message was meant for an earlier run of this VM. Queues may
+/// hold such messages while the VM is replaced.
+///
+/// Membership messages speak of their sender, whichever run reads them.
+fn is_for_earlier_run(cx: &Cx<'_>, envelope: &Envelope) -> bool {
+    if matches!(envelope.msg, PeerMessage::Membership(_)) {
+        return false;
+    }
+    let meant = envelope.to_incarnation;
+    meant != Incarnation::default() && meant != cx.view.me.incarnation
+}
--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -50,6 +50,7 @@
     2001 PeerJoined Info "A VM has joined the view.";
     2002 PeerSuspected Warn "A VM is suspected because its heartbeats stopped.";
     2003 PeerLost Warn "A VM has left the view.";
+    2004 IncarnationRaised Warn "Another VM knows a later run of this VM, so the wall clock was set back; this run took a higher incarnation.";
     // 3000: configuration.
     3001 ConfigurationApplied Info "A configuration is in force.";
     3002 ConfigurationRefused Error "A configuration object was refused.";
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -33,8 +33,7 @@
 use crate::{
     core::{
         engine::Event,
-        message::Envelope,
-        names::Incarnation, //
+        message::Envelope, //
     },
     edge::mailbox::{
         ENGINE,
@@ -65,7 +64,7 @@
     /// # Errors
     ///
     /// Fails if the address cannot be bound or the engine is not registered.
-    pub fn bind(address: SocketAddr, me: Incarnation, registry: &Registry) -> io::Result<()> {
+    pub fn bind(address: SocketAddr, registry: &Registry) -> io::Result<()> {
         let engine = registry
             .find::<EngineEvent>(ENGINE)
             .map_err(io::Error::other)?;
@@ -78,7 +77,7 @@
             .map_err(io::Error::other)?;
         thread::Builder::new()
             .name("peers".to_owned())
-            .spawn(move || receive(&socket, me, &engine))?;
+            .spawn(move || receive(&socket, &engine))?;
         let service = Peers {
             sockets: HashMap::new(),
         };
@@ -103,17 +102,11 @@
     Ok(socket)
 }
 
-fn receive(socket: &Socket, me: Incarnation, engine: &Recipient<EngineEvent>) {
+fn receive(socket: &Socket, engine: &Recipient<EngineEvent>) {
     while let Ok(message) = socket.recv() {
         let Ok(envelope) = Envelope::decode(&message) else {
             continue;
         };
-        // Messages queued for an earlier run of this VM are void.
-        let for_earlier_run =
-            envelope.to_incarnation != Incarnation::default() && envelope.to_incarnation != me;
-        if for_earlier_run {
-            continue;
-        }
         let _ = engine.try_send(EngineEvent(Event::Peer(envelope)));
     }
 }
--- a/src/kernel/clock.rs
+++ b/src/kernel/clock.rs
@@ -97,6 +97,14 @@
     }
 }
 
+impl Add for Millis {
+    type Output = Millis;
+
+    fn add(self, other: Millis) -> Millis {
+        Millis(self.0.saturating_add(other.0))
+    }
+}
+
 impl Add<Millis> for Time {
     type Output = Time;
 
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -195,6 +195,8 @@
     pub notes: Vec<Noted>,
     /// All answers to operators, in order.
     pub admin_replies: Vec<(usize, AdminReply)>,
+    /// How many of the VMs are named in the settings of all.
+    pub seeds: usize,
     /// The source of random numbers.
     pub rng: SmallRng,
     queue: BinaryHeap<Reverse<Scheduled>>,
@@ -220,6 +222,7 @@
             replies: Vec::new(),
             notes: Vec::new(),
             admin_replies: Vec::new(),
+            seeds: usize::MAX,
             rng: SmallRng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             order: 0,
@@ -289,9 +292,17 @@
 
     /// Starts a new run of the VM `at`, with nothing kept.
     pub fn start(&mut self, at: usize) {
+        let last = self.nodes[at].vm.incarnation;
+        self.start_as(at, Incarnation(self.now.0.max(last.0) + 1));
+    }
+
+    /// Starts a new run of the VM `at` as `incarnation`, which is lower than
+    /// that of the last run if the wall clock was set back.
+    pub fn start_as(&mut self, at: usize, incarnation: Incarnation) {
         let seeds = self
             .nodes
             .iter()
+            .take(self.seeds)
             .map(|n| Seed {
                 id: n.vm.id.clone(),
                 peers: n.vm.peers,
@@ -300,7 +311,7 @@
         let seed = self.rng.random();
         let now = self.now;
         let node = &mut self.nodes[at];
-        node.vm.incarnation = Incarnation(now.0.max(node.vm.incarnation.0) + 1);
+        node.vm.incarnation = incarnation;
         node.frozen_until = None;
         node.waiting.clear();
         node.engine = Some(Engine::open(node.vm.clone(), seeds, seed, now));
@@ -451,10 +462,13 @@
             Action::Reply { packet } => self.replies.push((self.now, packet)),
             Action::Peer { to, msg } => {
                 let node = &mut self.nodes[at];
-                let known = node.engine.as_ref().and_then(|e| e.view().member(&to));
+                let Some(engine) = &node.engine else {
+                    return;
+                };
+                let known = engine.view().member(&to);
                 let envelope = Envelope {
                     from: node.vm.id.clone(),
-                    incarnation: run,
+                    incarnation: engine.view().me.incarnation,
                     to_incarnation: known.map(|m| m.vm.incarnation).unwrap_or_default(),
                     msg,
                 };
@@ -495,11 +509,6 @@
             return;
         };
         let run = self.nodes[at].vm.incarnation;
-        let void = matches!(event, Event::Peer(e)
-            if e.to_incarnation != Incarnation::default() && e.to_incarnation != run);
-        if void {
-            return;
-        }
         for delay in self.copies(from, to.as_str()) {
             self.schedule(delay, Arrival::Event(at, run, event.clone()));
         }
--- /dev/null
+++ b/tests/membership_failures.rs
@@ -0,0 +1,209 @@
+//! Membership while VMs die, freeze, restart and lose each other.
+
+use dragonflytrack::{
+    core::{
+        Notice,
+        membership::MemberState,
+        names::Incarnation, //
+    },
+    kernel::clock::Millis,
+};
+use dragonflytrack_testkit::{
+    Fleet,
+    sample, //
+};
+use rand::Rng;
+
+/// The slots of a dead VM are served again this long after its death, so its
+/// death must be known by then.
+const DEATH_KNOWN_WITHIN: Millis = Millis::from_secs(5);
+
+const VMS: usize = 6;
+
+fn fleet(seed: u64) -> Fleet {
+    let cfg = sample::configuration(&sample::CYMRU, &sample::CYMRU_SERVICES);
+    Fleet::open(&cfg, 2, seed)
+}
+
+fn settled_fleet(seed: u64) -> Fleet {
+    let mut fleet = fleet(seed);
+    fleet.run_for(Millis::from_secs(3));
+    fleet
+}
+
+fn state(fleet: &Fleet, at: usize, of: usize) -> Option<MemberState> {
+    let view = fleet.nodes[at].engine.as_ref()?.view();
+    view.member(&fleet.nodes[of].vm.id).map(|m| m.state)
+}
+
+fn living(fleet: &Fleet) -> Vec<usize> {
+    (0..fleet.nodes.len())
+        .filter(|at| fleet.nodes[*at].engine.is_some())
+        .collect()
+}
+
+fn assert_all_agree(fleet: &Fleet) {
+    let living = living(fleet);
+    for at in &living {
+        for of in 0..fleet.nodes.len() {
+            let expected = living.contains(&of).then_some(MemberState::Alive);
+            assert_eq!(state(fleet, *at, of), expected, "vm{at} about vm{of}");
+        }
+    }
+}
+
+#[test]
+fn all_vms_know_each_other_within_a_second() {
+    let mut fleet = fleet(1);
+    fleet.run_for(Millis::from_secs(1));
+    assert_all_agree(&fleet);
+}
+
+#[test]
+fn vms_know_each_other_through_one_seed() {
+    let mut fleet = settled_fleet(2);
+    fleet.seeds = 1;
+    for at in 0..VMS {
+        fleet.kill(at);
+        fleet.start(at);
+    }
+    fleet.run_for(Millis::from_secs(2));
+    assert_all_agree(&fleet);
+}
+
+#[test]
+fn a_death_is_known_everywhere_in_time() {
+    let mut fleet = settled_fleet(3);
+    fleet.kill(2);
+    fleet.run_for(DEATH_KNOWN_WITHIN);
+    assert_all_agree(&fleet);
+}
+
+#[test]
+fn a_planned_stop_is_known_at_once() {
+    let mut fleet = settled_fleet(4);
+    fleet.stop(2);
+    fleet.run_for(Millis(10));
+    for at in 0..VMS {
+        assert_eq!(state(&fleet, at, 2), Some(MemberState::Leaving));
+    }
+}
+
+#[test]
+fn a_frozen_vm_is_dropped_and_comes_back_unsure() {
+    let mut fleet = settled_fleet(5);
+    fleet.freeze(1, Millis::from_secs(20));
+    fleet.run_for(DEATH_KNOWN_WITHIN);
+    assert_eq!(state(&fleet, 0, 1), None);
+    fleet.run_for(Millis::from_secs(15) + Millis(20));
+    let view = fleet.nodes[1].engine.as_ref().unwrap().view();
+    assert!(view.resumed >= fleet.now - Millis(50));
+    fleet.run_for(Millis::from_secs(2));
+    assert_all_agree(&fleet);
+}
+
+#[test]
+fn a_woken_vm_trusts_no_one_before_it_hears_them() {
+    let mut fleet = settled_fleet(6);
+    fleet.freeze(1, Millis::from_secs(2));
+    for other in [0, 2, 3, 4, 5] {
+        let (a, b) = (format!("vm{other}"), "vm1".to_owned());
+        fleet.links.cut(&a, &b);
+    }
+    fleet.run_for(Millis(2_020));
+    let view = fleet.nodes[1].engine.as_ref().unwrap().view();
+    assert_eq!(view.alive().count(), 1, "only itself");
+}
+
+#[test]
+fn a_restart_at_the_same_address_replaces_the_earlier_run() {
+    let mut fleet = settled_fleet(7);
+    fleet.kill(3);
+    fleet.run_for(Millis(200));
+    fleet.start(3);
+    fleet.run_for(Millis::from_secs(1));
+    assert_all_agree(&fleet);
+    let run = fleet.nodes[3].vm.incarnation;
+    for at in 0..VMS {
+        let view = fleet.nodes[at].engine.as_ref().unwrap().view();
+        let member = view.member(&fleet.nodes[3].vm.id).unwrap();
+        assert_eq!(member.vm.incarnation, run);
+    }
+}
+
+#[test]
+fn a_run_whose_clock_was_set_back_takes_a_higher_incarnation() {
+    let mut fleet = settled_fleet(8);
+    let earlier = fleet.nodes[4].vm.incarnation;
+    fleet.kill(4);
+    fleet.start_as(4, Incarnation(0));
+    fleet.run_for(Millis::from_secs(2));
+    assert_all_agree(&fleet);
+    let me = &fleet.nodes[4].engine.as_ref().unwrap().view().me;
+    assert!(me.incarnation > earlier);
+    assert!(
+        fleet
+            .notes
+            .iter()
+            .any(|n| n.notice == Notice::IncarnationRaised)
+    );
+}
+
+#[test]
+fn a_one_way_cut_is_suspected_on_both_sides() {
+    let mut fleet = settled_fleet(9);
+    fleet.links.cut_one_way("vm0", "vm5");
+    fleet.run_for(Millis::from_secs(3));
+    assert_eq!(state(&fleet, 0, 5), Some(MemberState::Suspect));
+    assert_ne!(state(&fleet, 5, 0), Some(MemberState::Alive));
+    fleet.links.heal();
+    fleet.run_for(Millis::from_secs(2));
+    assert_all_agree(&fleet);
+}
+
+#[test]
+fn clock_steps_change_nothing() {
+    let mut fleet = settled_fleet(10);
+    fleet.nodes[0].clock_step = Millis::from_secs(3_600);
+    let before = fleet.notes.len();
+    fleet.run_for(Millis::from_secs(10));
+    assert_all_agree(&fleet);
+    assert_eq!(fleet.notes.len(), before);
+}
+
+#[test]
+fn views_agree_again_after_any_history() {
+    for seed in 0..20 {
+        let mut fleet = settled_fleet(seed);
+        fleet.links.loss = 0.1;
+        fleet.links.duplication = 0.1;
+        for _ in 0..30 {
+            disturb(&mut fleet);
+            let span = fleet.rng.random_range(100..3_000);
+            fleet.run_for(Millis(span));
+        }
+        fleet.links.heal();
+        fleet.links.loss = 0.0;
+        let longest_freeze = Millis::from_secs(20);
+        fleet.run_for(longest_freeze + DEATH_KNOWN_WITHIN);
+        assert_all_agree(&fleet);
+    }
+}
+
+fn disturb(fleet: &mut Fleet) {
+    let at = fleet.rng.random_range(0..VMS);
+    let other = fleet.rng.random_range(0..VMS);
+    match fleet.rng.random_range(0..6) {
+        0 => fleet.kill(at),
+        1 => fleet.start(at),
+        2 => fleet.freeze(at, Millis::from_secs(20)),
+        3 => fleet
+            .links
+            .cut_one_way(format!("vm{at}"), format!("vm{other}")),
+        4 => fleet.links.heal(),
+        _ => {
+            fleet.kill(at);
+            fleet.start_as(at, Incarnation(1));
+        }
+    }
+}
