--- a/emulator/src/callers/flows.rs
+++ b/emulator/src/callers/flows.rs
@@ -19,11 +19,15 @@
         timeout, //
     },
 };
-use futures_util::future::join_all;
+use futures_util::future::{
+    Either,
+    join_all,
+    select, //
+};
 
 use super::{
     Load,
-    intents::is_taken_out, //
+    intents::Outages, //
 };
 use crate::packet::{
     self,
@@ -62,6 +66,7 @@
 
 struct Flow<'a> {
     load: &'a Load,
+    outages: &'a Outages,
     number: u16,
     source: SocketAddrV4,
     service: SocketAddrV4,
@@ -71,17 +76,23 @@
 
 /// Keeps all flows of the load and returns how each ended.
 pub(super) async fn run(load: &Load) -> Vec<FlowEnd> {
+    let outages = Outages::new(load.platform);
     let started = Instant::now();
     let mut flows = Vec::new();
     let mut number = 0;
     for service in &load.cfg.services {
         for at in 0..load.flows {
             let wait = opening(load, at);
-            flows.push(one_flow(load, number, service.address, wait, started));
+            let flow = Flow::bind(load, &outages, number, service.address);
+            flows.push(one_flow(flow, wait, started));
             number += 1;
         }
     }
-    join_all(flows).await
+    let all = std::pin::pin!(join_all(flows));
+    match select(all, std::pin::pin!(outages.follow())).await {
+        Either::Left((ends, _)) => ends,
+        Either::Right(((), _)) => Vec::new(),
+    }
 }
 
 /// Returns when a flow opens: half of them open within the first second, the
@@ -96,27 +107,31 @@
 }
 
 async fn one_flow(
-    load: &Load,
-    number: u16,
-    service: SocketAddr,
+    flow: impl Future<Output = io::Result<Flow<'_>>>,
     wait: Duration,
     started: Instant,
 ) -> FlowEnd {
     sleep(wait).await;
-    match Flow::bind(load, number, service).await {
+    match flow.await {
         Ok(flow) => flow.run(started).await,
         Err(e) => FlowEnd::Broken(format!("no socket: {e}")),
     }
 }
 
 impl Flow<'_> {
-    async fn bind(load: &Load, number: u16, service: SocketAddr) -> io::Result<Flow<'_>> {
+    async fn bind<'a>(
+        load: &'a Load,
+        outages: &'a Outages,
+        number: u16,
+        service: SocketAddr,
+    ) -> io::Result<Flow<'a>> {
         let SocketAddr::V4(service) = service else {
             return Err(io::Error::other("the service's address must be IPv4"));
         };
         let socket = UdpSocket::bind("127.0.0.1:0").await?;
         Ok(Flow {
             load,
+            outages,
             number,
             source: packet::caller_address(load.host, number),
             service,
@@ -130,6 +145,7 @@
             return FlowEnd::Refused;
         };
         let owner = first.backend;
+        let mut last_good = Instant::now();
         let mut number = 1;
         while started.elapsed() < self.load.duration {
             sleep(PACKET_INTERVAL).await;
@@ -140,15 +156,16 @@
                 Reply::Nothing => Some("no answer came".to_owned()),
             };
             if let Some(fault) = fault {
-                return self.ended(&owner, &fault).await;
+                return self.ended(&owner, &fault, last_good).await;
             }
+            last_good = Instant::now();
             number += 1;
         }
         FlowEnd::Kept
     }
 
-    async fn ended(&self, owner: &str, fault: &str) -> FlowEnd {
-        if is_taken_out(self.load.platform, owner).await {
+    async fn ended(&self, owner: &str, fault: &str, last_good: Instant) -> FlowEnd {
+        if self.outages.was_out(owner, last_good).await {
             return FlowEnd::GivenUp;
         }
         FlowEnd::Broken(format!("{} of {owner}: {fault}", self.source))
--- a/emulator/src/callers/intents.rs
+++ b/emulator/src/callers/intents.rs
@@ -1,7 +1,16 @@
 //! What operators decided, as callers may learn it from the platform.
 
-use std::net::SocketAddr;
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
 
+use actix_rt::time::sleep;
 use awc::Client;
 use serde::Deserialize;
 
@@ -10,25 +19,72 @@
     Configuration, //
 };
 
+/// How often the configuration is read.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long the configuration in force may take to be seen here.
+const SIGHT_LAG: Duration = Duration::from_secs(1);
+
+/// The data centres that operators took out.
+#[derive(Debug)]
+pub(super) struct Outages {
+    platform: Option<SocketAddr>,
+    /// Maps a backend server to when its data centre was last seen out.
+    last_out: RefCell<BTreeMap<String, Instant>>,
+}
+
 #[derive(Deserialize)]
 struct Object {
     value: Configuration,
 }
 
-/// Tells whether operators took out the data centre of `backend`.
-pub(super) async fn is_taken_out(platform: Option<SocketAddr>, backend: &str) -> bool {
-    let Some(platform) = platform else {
-        return false;
-    };
-    let url = format!("http://{platform}/v1/objects/{CONFIGURATION_KEY}");
-    let Ok(mut response) = Client::default().get(url).send().await else {
-        return false;
-    };
-    match response.json::<Object>().limit(1 << 20).await {
-        Ok(object) => object
-            .value
-            .data_centre_of(backend)
-            .is_some_and(|d| d.state == "out"),
-        Err(_) => false,
+impl Outages {
+    /// Knows of no data centre that is out.
+    pub(super) fn new(platform: Option<SocketAddr>) -> Outages {
+        Outages {
+            platform,
+            last_out: RefCell::default(),
+        }
+    }
+
+    /// Reads the configuration again and again.
+    pub(super) async fn follow(&self) {
+        loop {
+            self.read().await;
+            sleep(READ_INTERVAL).await;
+        }
+    }
+
+    /// Tells whether the data centre of `backend` was out at some time after
+    /// `last_good`, when a flow to it was last seen to live.
+    pub(super) async fn was_out(&self, backend: &str, last_good: Instant) -> bool {
+        self.read().await;
+        self.last_out
+            .borrow()
+            .get(backend)
+            .is_some_and(|out| *out + SIGHT_LAG >= last_good)
+    }
+
+    async fn read(&self) {
+        let Some(cfg) = self.configuration().await else {
+            return;
+        };
+        let now = Instant::now();
+        for backend in &cfg.backends {
+            if cfg
+                .data_centre_of(&backend.name)
+                .is_some_and(|d| d.state == "out")
+            {
+                self.last_out.borrow_mut().insert(backend.name.clone(), now);
+            }
+        }
+    }
+
+    async fn configuration(&self) -> Option<Configuration> {
+        let platform = self.platform?;
+        let url = format!("http://{platform}/v1/objects/{CONFIGURATION_KEY}");
+        let mut response = Client::default().get(url).send().await.ok()?;
+        let object: Object = response.json().limit(1 << 20).await.ok()?;
+        Some(object.value)
     }
 }
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod packet;
 pub mod platform;
 pub mod receipt;
+pub mod report;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -21,9 +21,13 @@
         Summary, //
     },
     configuration::Configuration,
-    configure,
+    configure::{
+        self,
+        Change, //
+    },
     fabric,
-    platform, //
+    platform,
+    report, //
 };
 use gumdrop::Options;
 
@@ -47,9 +51,9 @@
     Backends(BackendsArgs),
     #[options(help = "keep flows open and send requests, and check what comes back")]
     Callers(CallersArgs),
-    #[options(help = "write the first configuration to the platform")]
+    #[options(help = "write configurations to the platform")]
     Configure(ConfigureArgs),
-    #[options(help = "add up summaries of callers")]
+    #[options(help = "add up the callers' summaries of a demo")]
     Summarize(SummarizeArgs),
 }
 
@@ -136,8 +140,19 @@
     help: bool,
     #[options(required, help = "the platform's address", meta = "IP:PORT")]
     platform: Address,
-    #[options(required, help = "the configuration", meta = "FILE")]
-    configuration: PathBuf,
+    #[options(help = "the first configuration", meta = "FILE")]
+    first: Option<PathBuf>,
+    #[options(help = "drain this backend server", meta = "BACKEND")]
+    drain: Option<String>,
+    #[options(help = "take this data centre out", meta = "DATA-CENTRE", no_short)]
+    out: Option<String>,
+    #[options(
+        help = "return this data centre",
+        long = "return",
+        meta = "DATA-CENTRE",
+        no_short
+    )]
+    back: Option<String>,
 }
 
 #[derive(Debug, Options)]
@@ -169,14 +184,27 @@
         Command::Fabric(args) => run_fabric(args).await,
         Command::Backends(args) => run_backends(&args).await,
         Command::Callers(args) => run_callers(args).await,
-        Command::Configure(args) => {
-            let cfg = Configuration::load(&args.configuration)?;
-            configure::configure(args.platform.0, &cfg).await
-        }
-        Command::Summarize(args) => summarize(&args.files),
+        Command::Configure(args) => run_configure(args).await,
+        Command::Summarize(args) => report("demo: ", &report::add_up(&args.files)?),
     }
 }
 
+async fn run_configure(args: ConfigureArgs) -> io::Result<()> {
+    let platform = args.platform.0;
+    if let Some(file) = args.first {
+        configure::configure(platform, &Configuration::load(file)?).await?;
+    }
+    let changes = [
+        args.drain.map(Change::Drain),
+        args.out.map(Change::Out),
+        args.back.map(Change::Return),
+    ];
+    for change in changes.iter().flatten() {
+        configure::amend(platform, change).await?;
+    }
+    Ok(())
+}
+
 async fn run_fabric(args: FabricArgs) -> io::Result<()> {
     let fabric = fabric::Fabric {
         listen: args.listen.0,
@@ -212,22 +240,14 @@
     if let Some(file) = args.summary {
         fs::write(file, serde_json::to_vec_pretty(&summary)?)?;
     }
-    report(&summary)
-}
-
-fn summarize(files: &[PathBuf]) -> io::Result<()> {
-    let mut total = Summary::default();
-    for file in files {
-        total.merge(&serde_json::from_slice(&fs::read(file)?)?);
-    }
-    report(&total)
+    report("", &summary)
 }
 
-fn report(summary: &Summary) -> io::Result<()> {
+fn report(prefix: &str, summary: &Summary) -> io::Result<()> {
     for fault in &summary.faults {
         eprintln!("{fault}");
     }
-    println!("{summary}");
+    println!("{prefix}{summary}");
     if summary.is_clean() {
         return Ok(());
     }
