Stop in order, count at the sockets, log events by module

A planned stop refused new requests at once while /readyz still said yes, had no limit and ignored a second signal. It now withdraws readiness, goes on serving for [stop] notice-ms, ends the running requests and exits with 0; a second signal or [stop] timeout-ms cuts it short with event 1005 or 1004 and exit code 1.

Drops at the sockets were silent. Each is counted now: malformed datagrams and messages, full queues of the engine, of a service, of a peer and of the packet socket. Queues between the services are bounded for packets and messages. Sockets to peers that nothing is sent to are closed after 60 s.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod check;
 pub mod run;
+pub mod shutdown;
 pub mod version;
 
 /// Exit code of a command that did what it was asked.
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -2,40 +2,39 @@
 
 use std::{
     io,
-    path::PathBuf,
-    time::Duration, //
+    path::PathBuf, //
 };
 
 use actix_rt::signal::unix::{
     SignalKind,
     signal, //
 };
+use actix_web::dev::ServerHandle;
 use gumdrop::Options;
 
 use crate::{
     command::{
-        EXIT_FAILED,
-        EXIT_OK,
-        EXIT_USAGE, //
+        EXIT_FAILED, EXIT_OK, EXIT_USAGE,
+        shutdown::{
+            self,
+            Ending, //
+        },
     },
     core::{
-        engine::Event,
         membership::Vm,
-        names::Incarnation, //
+        names::Incarnation,
+        notice::Notice, //
     },
     edge::{
         admin::Admin,
         backends::Backends,
         callers::Callers,
-        engine::{
-            EngineService,
-            GetHealth,
-            HEALTH, //
-        },
+        counts::EdgeCounts,
+        engine::EngineService,
         fabric::Fabric,
-        mailbox::{
-            ENGINE,
-            EngineEvent, //
+        log::{
+            self,
+            note, //
         },
         peers::Peers,
         platform::Platform, //
@@ -58,9 +57,6 @@
     settings: PathBuf,
 }
 
-/// How often a stopping process looks whether its requests have ended.
-const STOP_POLL: Duration = Duration::from_millis(20);
-
 /// Runs an entry VM until it is told to stop. Returns the exit code.
 pub fn run(args: &Run) -> u8 {
     let settings = match Settings::load(&args.settings) {
@@ -70,12 +66,13 @@
             return EXIT_USAGE;
         }
     };
-    tracing_subscriber::fmt()
-        .with_writer(io::stderr)
-        .with_ansi(false)
-        .init();
-    match actix::System::new().block_on(serve(settings)) {
-        Ok(()) => EXIT_OK,
+    if let Err(e) = log::install(&settings.log) {
+        eprintln!("cannot log: {e}");
+        return EXIT_FAILED;
+    }
+    match actix::System::new().block_on(serve(&settings)) {
+        Ok(Ending::Complete) => EXIT_OK,
+        Ok(Ending::Cut) => EXIT_FAILED,
         Err(e) => {
             eprintln!("cannot serve: {e}");
             EXIT_FAILED
@@ -83,42 +80,66 @@
     }
 }
 
-async fn serve(settings: Settings) -> io::Result<()> {
+async fn serve(settings: &Settings) -> io::Result<Ending> {
     let mut term = signal(SignalKind::terminate())?;
     let clock = Clock::start();
     let registry = Registry::default();
-    let me = Vm {
+    let me = identity(settings, clock);
+    note(
+        Notice::Started,
+        &format!("VM {}, run {}", me.id, me.incarnation),
+    );
+    let servers = start(settings, me, clock, &registry).await?;
+
+    term.recv().await;
+    let ending = shutdown::run(&registry, settings.stop, &mut term, servers.stop()).await?;
+    if ending == Ending::Complete {
+        note(Notice::Stopped, "");
+    }
+    Ok(ending)
+}
+
+/// The HTTP servers of the process.
+struct Servers {
+    callers: ServerHandle,
+    admin: ServerHandle,
+}
+
+impl Servers {
+    /// Ends the servers once their last answer is written.
+    async fn stop(self) {
+        self.callers.stop(true).await;
+        self.admin.stop(true).await;
+    }
+}
+
+fn identity(settings: &Settings, clock: Clock) -> Vm {
+    Vm {
         id: settings.vm.clone(),
         data_centre: settings.data_centre.clone(),
         incarnation: Incarnation(clock.wall().0),
         peers: settings.peers,
         relay: settings.relay,
-    };
-    EngineService::spawn(me, settings.seeds.clone(), clock, &registry);
-    Backends::spawn(&registry).map_err(io::Error::other)?;
-    Platform::spawn(settings.platform, &registry).map_err(io::Error::other)?;
-    Peers::bind(settings.peers, &registry)?;
-    Fabric::bind(settings.fabric, settings.relay, settings.replies, &registry).await?;
-    let admin = Admin::bind(settings.admin, &registry)?;
-    let callers = Callers::bind(settings.callers, clock, &registry)?;
-
-    term.recv().await;
-    stop(&registry).await?;
-    callers.stop(true).await;
-    admin.stop(true).await;
-    Ok(())
+    }
 }
 
-async fn stop(registry: &Registry) -> io::Result<()> {
-    let engine = registry
-        .find::<EngineEvent>(ENGINE)
-        .map_err(io::Error::other)?;
-    let health = registry
-        .find::<GetHealth>(HEALTH)
-        .map_err(io::Error::other)?;
-    engine.do_send(EngineEvent(Event::Stop));
-    while !health.send(GetHealth).await.map_err(io::Error::other)?.idle {
-        actix_rt::time::sleep(STOP_POLL).await;
-    }
-    Ok(())
+/// Starts all services. Each finds those that it calls in the registry.
+async fn start(
+    settings: &Settings,
+    me: Vm,
+    clock: Clock,
+    registry: &Registry,
+) -> io::Result<Servers> {
+    let counts = EdgeCounts::default();
+    EngineService::spawn(me, settings, clock, &counts, registry);
+    Backends::spawn(registry).map_err(io::Error::other)?;
+    Platform::spawn(settings.platform, registry).map_err(io::Error::other)?;
+    let queue = settings.limits.peer_queue;
+    Peers::bind(settings.peers, queue, &counts, registry)?;
+    let (fabric, relay) = (settings.fabric, settings.relay);
+    Fabric::bind(fabric, relay, settings.replies, &counts, registry).await?;
+    Ok(Servers {
+        admin: Admin::bind(settings.admin, registry)?,
+        callers: Callers::bind(settings.callers, clock, registry)?,
+    })
 }
--- a/src/core/counter.rs
+++ b/src/core/counter.rs
@@ -42,6 +42,10 @@
     RequestUnknown, "requests_outcome_unknown", "Requests whose outcome could not be learnt.";
     // Capacity.
     // Intents and configuration.
+    // The process.
+    EventOverflow, "events_overflow", "Packets and messages dropped because the engine's queue was full.";
+    ActionOverflow, "actions_overflow", "Packets and messages dropped because a service's queue was full.";
+    PacketOverflow, "packets_overflow", "Packets dropped because the socket's send buffer was full.";
     // Peers.
     PeerMalformed, "peer_messages_malformed", "Messages of peers dropped because they could not be decoded.";
     PeerForEarlierRun, "peer_messages_for_earlier_run", "Messages of peers dropped because they were meant for an earlier run of this VM.";
--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -46,6 +46,8 @@
     1001 Started Info "The process has started.";
     1002 Stopping Info "A planned stop has begun.";
     1003 Stopped Info "The planned stop is complete.";
+    1004 StopTimedOut Error "The planned stop took too long and was cut short.";
+    1005 StopForced Warn "A second signal cut the planned stop short.";
     // 2000: membership.
     2001 PeerJoined Info "A VM has joined the view.";
     2002 PeerSuspected Warn "A VM is suspected because its heartbeats stopped.";
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -6,27 +6,10 @@
     time::Duration, //
 };
 
-use actix::{
-    Actor,
-    AsyncContext,
-    Context,
-    Handler,
-    Message,
-    Recipient, //
-};
-use tracing::{
-    error,
-    info,
-    warn, //
-};
-
 use crate::{
     core::{
-        Action,
-        Engine,
-        Event,
-        Notice,
-        PeerMessage,
+        Action, Engine, Event, PeerMessage,
+        counter::Counter,
         membership::{
             Seed,
             Vm, //
@@ -36,39 +19,50 @@
             Incarnation,
             VmId, //
         },
-        notice::Level, //
     },
-    edge::mailbox::{
-        ADMIN,
-        AdminOut,
-        AnswerOut,
-        AttemptCancelled,
-        AttemptOut,
-        BACKENDS,
-        BACKENDS_CANCEL,
-        CALLERS,
-        ENGINE,
-        EngineEvent,
-        FABRIC,
-        PEERS,
-        PLATFORM,
-        PacketOut,
-        PeerOut,
-        PlatformOut,
-        Route, //
+    edge::{
+        counts::EdgeCounts,
+        log::note,
+        mailbox::{
+            ADMIN,
+            AdminOut,
+            AnswerOut,
+            AttemptCancelled,
+            AttemptOut,
+            BACKENDS,
+            BACKENDS_CANCEL,
+            CALLERS,
+            ENGINE,
+            EngineEvent,
+            FABRIC,
+            PEERS,
+            PLATFORM,
+            PacketOut,
+            PeerOut,
+            PlatformOut,
+            Route, //
+        },
+        metrics, //
     },
     kernel::{
         clock::Clock,
         registry::Registry, //
     },
+    settings::Settings,
 };
+use actix::{
+    Actor,
+    AsyncContext,
+    Context,
+    Handler,
+    Message,
+    Recipient, //
+};
+use bytes::Bytes;
 
 /// How often the engine is told that time has passed.
 const TICK: Duration = Duration::from_millis(10);
 
-/// How many events may wait for the engine.
-const MAILBOX: usize = 65_536;
-
 /// The mailboxes of the services that carry out actions.
 struct Outlets {
     fabric: Recipient<PacketOut>,
@@ -86,6 +80,11 @@
     clock: Clock,
     seeds: Vec<Seed>,
     registry: Registry,
+    counts: EdgeCounts,
+    /// How many events may wait.
+    queue: usize,
+    /// Whether a planned stop has been announced.
+    stopping: bool,
     /// `None` until all services have been registered.
     outlets: Option<Outlets>,
 }
@@ -98,7 +97,7 @@
 /// The state of the process.
 #[derive(Clone, Debug, actix::MessageResponse)]
 pub struct Health {
-    /// Whether a configuration is in force.
+    /// Whether a configuration is in force and no stop was announced.
     pub ready: bool,
     /// Whether no request is left to finish.
     pub idle: bool,
@@ -109,9 +108,24 @@
 /// The name under which the engine answers [`GetHealth`].
 pub const HEALTH: &str = "engine/health";
 
+/// Announces a planned stop: the process is no longer ready.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct WithdrawReadiness;
+
+/// The name under which the engine takes [`WithdrawReadiness`].
+pub const READINESS: &str = "engine/readiness";
+
 impl EngineService {
     /// Starts the engine of the VM `me`.
-    pub fn spawn(me: Vm, seeds: Vec<Seed>, clock: Clock, registry: &Registry) {
+    pub fn spawn(
+        me: Vm,
+        settings: &Settings,
+        clock: Clock,
+        counts: &EdgeCounts,
+        registry: &Registry,
+    ) {
+        let seeds = settings.seeds.clone();
         let seed = me.incarnation.0;
         let engine = Engine::open(me, seeds.clone(), seed, clock.now());
         let service = EngineService {
@@ -119,11 +133,15 @@
             clock,
             seeds,
             registry: registry.clone(),
+            counts: counts.clone(),
+            queue: settings.limits.engine_queue,
+            stopping: false,
             outlets: None,
         };
         let address = service.start();
         registry.register(ENGINE, address.clone().recipient::<EngineEvent>());
-        registry.register(HEALTH, address.recipient::<GetHealth>());
+        registry.register(HEALTH, address.clone().recipient::<GetHealth>());
+        registry.register(READINESS, address.recipient::<WithdrawReadiness>());
     }
 
     fn find_outlets(&self) -> Option<Outlets> {
@@ -149,7 +167,9 @@
             .engine
             .handle(self.clock.now(), self.clock.wall(), event);
         for action in actions {
-            carry_out(&self.engine, &self.seeds, outlets, action);
+            if !carry_out(&self.engine, &self.seeds, outlets, action) {
+                self.counts.add(Counter::ActionOverflow);
+            }
         }
     }
 }
@@ -158,7 +178,7 @@
     type Context = Context<EngineService>;
 
     fn started(&mut self, cx: &mut Context<EngineService>) {
-        cx.set_mailbox_capacity(MAILBOX);
+        cx.set_mailbox_capacity(self.queue);
         cx.run_interval(TICK, |service, _| service.handle_event(Event::Tick));
     }
 }
@@ -176,42 +196,71 @@
 
     fn handle(&mut self, _msg: GetHealth, _cx: &mut Context<EngineService>) -> Health {
         Health {
-            ready: self.engine.is_ready(),
+            ready: self.engine.is_ready() && !self.stopping,
             idle: self.engine.is_idle(),
-            metrics: String::new(),
+            metrics: metrics::encode(&self.engine, &self.counts),
         }
     }
 }
 
-fn carry_out(engine: &Engine, seeds: &[Seed], outlets: &Outlets, action: Action) {
+impl Handler<WithdrawReadiness> for EngineService {
+    type Result = ();
+
+    fn handle(&mut self, _msg: WithdrawReadiness, _cx: &mut Context<EngineService>) {
+        self.stopping = true;
+    }
+}
+
+/// Hands an action to the service that carries it out. Returns whether it had
+/// room: packets and messages may be lost, all else is as bounded as the
+/// requests that cause it.
+fn carry_out(engine: &Engine, seeds: &[Seed], outlets: &Outlets, action: Action) -> bool {
     match action {
-        Action::Forward { to, packet } => {
-            let route = Route::Backend(to);
-            outlets.fabric.do_send(PacketOut { route, packet });
-        }
-        Action::Relay { to, packet } => {
-            if let Some(member) = engine.view().member(&to) {
-                let route = Route::Vm(member.vm.relay);
-                outlets.fabric.do_send(PacketOut { route, packet });
-            }
+        Action::Forward { to, packet } => outlets.packet(Route::Backend(to), packet),
+        Action::Relay { to, packet } => match engine.view().member(&to) {
+            Some(member) => outlets.packet(Route::Vm(member.vm.relay), packet),
+            None => true,
+        },
+        Action::Reply { packet } => outlets.packet(Route::Caller, packet),
+        Action::Peer { to, msg } => send_to_peer(engine, seeds, outlets, &to, msg),
+        action => {
+            outlets.carry_out_all(action);
+            true
         }
-        Action::Reply { packet } => {
-            let route = Route::Caller;
-            outlets.fabric.do_send(PacketOut { route, packet });
+    }
+}
+
+impl Outlets {
+    fn packet(&self, route: Route, packet: Bytes) -> bool {
+        self.fabric.try_send(PacketOut { route, packet }).is_ok()
+    }
+
+    /// Carries out an action that must not be lost.
+    fn carry_out_all(&self, action: Action) {
+        match action {
+            Action::Attempt(attempt) => self.backends.do_send(AttemptOut(attempt)),
+            Action::CancelAttempt(id) => self.cancel.do_send(AttemptCancelled(id)),
+            Action::Answer { call, answer } => self.callers.do_send(AnswerOut { call, answer }),
+            Action::Platform(call) => self.platform.do_send(PlatformOut(call)),
+            Action::Admin(reply) => self.admin.do_send(AdminOut(reply)),
+            Action::Note { notice, detail } => note(notice, &detail),
+            Action::Forward { .. }
+            | Action::Relay { .. }
+            | Action::Reply { .. }
+            | Action::Peer { .. } => {}
         }
-        Action::Peer { to, msg } => send_to_peer(engine, seeds, outlets, &to, msg),
-        Action::Attempt(attempt) => outlets.backends.do_send(AttemptOut(attempt)),
-        Action::CancelAttempt(id) => outlets.cancel.do_send(AttemptCancelled(id)),
-        Action::Answer { call, answer } => outlets.callers.do_send(AnswerOut { call, answer }),
-        Action::Platform(call) => outlets.platform.do_send(PlatformOut(call)),
-        Action::Admin(reply) => outlets.admin.do_send(AdminOut(reply)),
-        Action::Note { notice, detail } => log(notice, &detail),
     }
 }
 
-fn send_to_peer(engine: &Engine, seeds: &[Seed], outlets: &Outlets, to: &VmId, msg: PeerMessage) {
+fn send_to_peer(
+    engine: &Engine,
+    seeds: &[Seed],
+    outlets: &Outlets,
+    to: &VmId,
+    msg: PeerMessage,
+) -> bool {
     let Some((address, to_incarnation)) = peer_address(engine, seeds, to) else {
-        return;
+        return true;
     };
     let me = &engine.view().me;
     let envelope = Envelope {
@@ -220,7 +269,10 @@
         to_incarnation,
         msg,
     };
-    outlets.peers.do_send(PeerOut { address, envelope });
+    outlets
+        .peers
+        .try_send(PeerOut { address, envelope })
+        .is_ok()
 }
 
 fn peer_address(engine: &Engine, seeds: &[Seed], to: &VmId) -> Option<(SocketAddr, Incarnation)> {
@@ -230,13 +282,3 @@
     let seed = seeds.iter().find(|s| s.id == *to)?;
     Some((seed.peers, Incarnation::default()))
 }
-
-fn log(notice: Notice, detail: &str) {
-    let number = notice.number();
-    let text = notice.text();
-    match notice.level() {
-        Level::Error => error!(event = number, detail, "{text}"),
-        Level::Warn => warn!(event = number, detail, "{text}"),
-        Level::Info => info!(event = number, detail, "{text}"),
-    }
-}
--- a/src/edge/fabric.rs
+++ b/src/edge/fabric.rs
@@ -18,10 +18,12 @@
 
 use crate::{
     core::{
+        counter::Counter,
         engine::Event,
         flow::PacketSource, //
     },
     edge::{
+        counts::EdgeCounts,
         gue,
         mailbox::{
             ENGINE,
@@ -37,10 +39,14 @@
 /// The largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 65_536;
 
+/// How many packets may wait for this service.
+const MAILBOX: usize = 4_096;
+
 /// The service that sends and receives packets.
 pub struct Fabric {
     outbound: Arc<UdpSocket>,
     replies: SocketAddr,
+    counts: EdgeCounts,
 }
 
 impl Fabric {
@@ -54,6 +60,7 @@
         fabric: SocketAddr,
         relay: SocketAddr,
         replies: SocketAddr,
+        counts: &EdgeCounts,
         registry: &Registry,
     ) -> io::Result<()> {
         let engine = registry
@@ -65,32 +72,53 @@
             Arc::clone(&inbound),
             PacketSource::Fabric,
             engine.clone(),
+            counts.clone(),
+        ));
+        actix_rt::spawn(receive(
+            Arc::clone(&relayed),
+            PacketSource::Peer,
+            engine,
+            counts.clone(),
         ));
-        actix_rt::spawn(receive(Arc::clone(&relayed), PacketSource::Peer, engine));
         let service = Fabric {
             outbound: relayed,
             replies,
+            counts: counts.clone(),
         };
         registry.register(FABRIC, service.start().recipient::<PacketOut>());
         Ok(())
     }
 }
 
-async fn receive(socket: Arc<UdpSocket>, source: PacketSource, engine: Recipient<EngineEvent>) {
+async fn receive(
+    socket: Arc<UdpSocket>,
+    source: PacketSource,
+    engine: Recipient<EngineEvent>,
+    counts: EdgeCounts,
+) {
     let mut buf = vec![0u8; MAX_DATAGRAM];
     loop {
         let Ok((len, _)) = socket.recv_from(&mut buf).await else {
             continue;
         };
         let datagram = Bytes::copy_from_slice(&buf[..len]);
-        let packet = gue::decapsulate(&datagram).unwrap_or_default();
-        // A full mailbox drops the packet, as a full network queue would.
-        let _ = engine.try_send(EngineEvent(Event::Packet { source, packet }));
+        let Some(packet) = gue::decapsulate(&datagram) else {
+            counts.add(Counter::PacketMalformed);
+            continue;
+        };
+        let event = EngineEvent(Event::Packet { source, packet });
+        if engine.try_send(event).is_err() {
+            counts.add(Counter::EventOverflow);
+        }
     }
 }
 
 impl Actor for Fabric {
     type Context = Context<Fabric>;
+
+    fn started(&mut self, cx: &mut Context<Fabric>) {
+        cx.set_mailbox_capacity(MAILBOX);
+    }
 }
 
 impl Handler<PacketOut> for Fabric {
@@ -102,7 +130,8 @@
             Route::Caller => self.replies,
         };
         let datagram = gue::encapsulate(&msg.packet);
-        // UDP gives no word of loss, so neither does a full send buffer.
-        let _ = self.outbound.try_send_to(&datagram, to);
+        if self.outbound.try_send_to(&datagram, to).is_err() {
+            self.counts.add(Counter::PacketOverflow);
+        }
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,9 +4,12 @@
 pub mod admin;
 pub mod backends;
 pub mod callers;
+pub mod counts;
 pub mod engine;
 pub mod fabric;
 pub mod gue;
+pub mod log;
 pub mod mailbox;
+pub mod metrics;
 pub mod peers;
 pub mod platform;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -1,7 +1,8 @@
 //! Messages between VMs, over nng push and pull sockets.
 //!
 //! Each VM pulls from one socket and pushes into one socket for each peer.
-//! Sends never wait: a peer that does not read loses messages.
+//! Sends never wait: a peer that does not read loses messages, and each lost
+//! message is counted.
 
 use std::{
     collections::{
@@ -10,11 +11,16 @@
     },
     io,
     net::SocketAddr,
-    thread, //
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use actix::{
     Actor,
+    AsyncContext,
     Context,
     Handler,
     Recipient, //
@@ -32,14 +38,18 @@
 
 use crate::{
     core::{
+        counter::Counter,
         engine::Event,
         message::Envelope, //
     },
-    edge::mailbox::{
-        ENGINE,
-        EngineEvent,
-        PEERS,
-        PeerOut, //
+    edge::{
+        counts::EdgeCounts,
+        mailbox::{
+            ENGINE,
+            EngineEvent,
+            PEERS,
+            PeerOut, //
+        },
     },
     kernel::registry::Registry,
 };
@@ -47,15 +57,27 @@
 /// The largest message that is read, in bytes.
 const MAX_MESSAGE: usize = 8 << 20;
 
-/// How many messages may wait for one peer.
-const SEND_QUEUE: i32 = 1_024;
-
 /// How long to wait before connecting again.
-const RECONNECT: std::time::Duration = std::time::Duration::from_millis(100);
+const RECONNECT: Duration = Duration::from_millis(100);
+
+/// How long a socket may go unused before it is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+
+/// How many messages may wait for this service.
+const MAILBOX: usize = 4_096;
+
+/// A socket to one peer.
+struct Link {
+    socket: Socket,
+    used: Instant,
+}
 
 /// The service that sends messages to other VMs.
 pub struct Peers {
-    sockets: HashMap<SocketAddr, Socket>,
+    links: HashMap<SocketAddr, Link>,
+    /// How many messages may wait for one peer.
+    queue: u16,
+    counts: EdgeCounts,
 }
 
 impl Peers {
@@ -64,68 +86,102 @@
     /// # Errors
     ///
     /// Fails if the address cannot be bound or the engine is not registered.
-    pub fn bind(address: SocketAddr, registry: &Registry) -> io::Result<()> {
+    pub fn bind(
+        address: SocketAddr,
+        queue: u16,
+        counts: &EdgeCounts,
+        registry: &Registry,
+    ) -> io::Result<()> {
         let engine = registry
             .find::<EngineEvent>(ENGINE)
             .map_err(io::Error::other)?;
-        let socket = Socket::new(Protocol::Pull0).map_err(io::Error::other)?;
-        socket
-            .set_opt::<RecvMaxSize>(MAX_MESSAGE)
-            .map_err(io::Error::other)?;
-        socket
-            .listen(&format!("tcp://{address}"))
-            .map_err(io::Error::other)?;
-        thread::Builder::new()
-            .name("peers".to_owned())
-            .spawn(move || receive(&socket, &engine))?;
+        let socket = listen(address).map_err(io::Error::other)?;
         let service = Peers {
-            sockets: HashMap::new(),
+            links: HashMap::new(),
+            queue,
+            counts: counts.clone(),
         };
+        let counts = counts.clone();
+        thread::Builder::new()
+            .name("peers".to_owned())
+            .spawn(move || receive(&socket, &engine, &counts))?;
         registry.register(PEERS, service.start().recipient::<PeerOut>());
         Ok(())
     }
 
     fn socket(&mut self, address: SocketAddr) -> nng::Result<&Socket> {
-        match self.sockets.entry(address) {
-            Entry::Occupied(entry) => Ok(entry.into_mut()),
-            Entry::Vacant(entry) => Ok(entry.insert(dial(address)?)),
+        let link = match self.links.entry(address) {
+            Entry::Occupied(entry) => entry.into_mut(),
+            Entry::Vacant(entry) => entry.insert(Link {
+                socket: dial(address, self.queue)?,
+                used: Instant::now(),
+            }),
+        };
+        link.used = Instant::now();
+        Ok(&link.socket)
+    }
+
+    /// Closes the sockets to peers that nothing is sent to any more.
+    fn close_idle(&mut self) {
+        self.links
+            .retain(|_, link| link.used.elapsed() < IDLE_LIMIT);
+    }
+
+    fn send(&mut self, msg: &PeerOut) {
+        let Ok(bytes) = msg.envelope.encode() else {
+            return;
+        };
+        let sent = match self.socket(msg.address) {
+            Ok(socket) => socket.try_send(bytes.as_slice()).is_ok(),
+            Err(_) => false,
+        };
+        if !sent {
+            self.counts.add(Counter::PeerOverflow);
         }
     }
 }
 
-fn dial(address: SocketAddr) -> nng::Result<Socket> {
+fn listen(address: SocketAddr) -> nng::Result<Socket> {
+    let socket = Socket::new(Protocol::Pull0)?;
+    socket.set_opt::<RecvMaxSize>(MAX_MESSAGE)?;
+    socket.listen(&format!("tcp://{address}"))?;
+    Ok(socket)
+}
+
+fn dial(address: SocketAddr, queue: u16) -> nng::Result<Socket> {
     let socket = Socket::new(Protocol::Push0)?;
-    socket.set_opt::<SendBufferSize>(SEND_QUEUE)?;
+    socket.set_opt::<SendBufferSize>(i32::from(queue))?;
     socket.set_opt::<ReconnectMinTime>(Some(RECONNECT))?;
     socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT))?;
     socket.dial_async(&format!("tcp://{address}"))?;
     Ok(socket)
 }
 
-fn receive(socket: &Socket, engine: &Recipient<EngineEvent>) {
+fn receive(socket: &Socket, engine: &Recipient<EngineEvent>, counts: &EdgeCounts) {
     while let Ok(message) = socket.recv() {
         let Ok(envelope) = Envelope::decode(&message) else {
+            counts.add(Counter::PeerMalformed);
             continue;
         };
-        let _ = engine.try_send(EngineEvent(Event::Peer(envelope)));
+        if engine.try_send(EngineEvent(Event::Peer(envelope))).is_err() {
+            counts.add(Counter::EventOverflow);
+        }
     }
 }
 
 impl Actor for Peers {
     type Context = Context<Peers>;
+
+    fn started(&mut self, cx: &mut Context<Peers>) {
+        cx.set_mailbox_capacity(MAILBOX);
+        cx.run_interval(IDLE_LIMIT, |service, _| service.close_idle());
+    }
 }
 
 impl Handler<PeerOut> for Peers {
     type Result = ();
 
     fn handle(&mut self, msg: PeerOut, _cx: &mut Context<Peers>) {
-        let Ok(bytes) = msg.envelope.encode() else {
-            return;
-        };
-        let Ok(socket) = self.socket(msg.address) else {
-            return;
-        };
-        // A full queue means that the peer does not read; the message is lost.
-        let _ = socket.try_send(bytes.as_slice());
+        self.send(&msg);
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -12,15 +12,12 @@
 
 use ini::Ini;
 
-use crate::{
-    core::{
-        membership::Seed,
-        names::{
-            DataCentreId,
-            VmId, //
-        },
+use crate::core::{
+    membership::Seed,
+    names::{
+        DataCentreId,
+        VmId, //
     },
-    kernel::clock::Millis,
 };
 
 mod clash;
@@ -45,6 +42,8 @@
     SettingsError, //
 };
 
+pub use stop::Stop;
+
 use reader::Reader;
 
 /// The settings of one process.
@@ -72,8 +71,8 @@
     pub seeds: Vec<Seed>,
     /// What is logged and how.
     pub log: Log,
-    /// How long a planned stop may take.
-    pub stop_timeout: Millis,
+    /// The planned stop.
+    pub stop: Stop,
     /// The lengths of queues.
     pub limits: Limits,
 }
@@ -119,7 +118,7 @@
     let platform = platform::read(rx);
     let seeds = peers::read(rx);
     let log = log::read(rx);
-    let stop_timeout = stop::read(rx);
+    let stop = stop::read(rx);
     let limits = limits::read(rx);
     let (vm, listen) = (vm?, listen?);
     let settings = Settings {
@@ -134,7 +133,7 @@
         platform: platform?,
         seeds,
         log,
-        stop_timeout,
+        stop,
         limits,
     };
     clash::check(rx, &settings);
--- a/tests/settings_problems.rs
+++ b/tests/settings_problems.rs
@@ -42,7 +42,7 @@
     let (required, _) = SAMPLE.split_once("; The sections below").unwrap();
     let settings = Settings::parse(required).unwrap();
     assert_eq!(settings.log.format, Format::Human);
-    assert_eq!(settings.stop_timeout, Millis::from_secs(30));
+    assert_eq!(settings.stop.timeout, Millis::from_secs(30));
     let mut sample = Settings::parse(SAMPLE).unwrap();
     sample.log.modules.clear();
     assert_eq!(settings, sample);
