Plan, confirm, relay and ramp one versioned record

Cause: the skeleton read one object each second on every VM and applied whatever was higher; there were no plans, and the call rate grew with the VMs.

The configuration in force is now one platform object, the record. A plan is stored at the platform; its confirmation is one conditional write that names the plan, so that a lost answer is resolved by reading back. Two VMs of each data centre hold a watch and the others are told by peers. A bad or older record is replaced under a higher generation and never comes in force. A data centre returns by a ramp of conditional writes.

Ruled out: refusing a confirmation on any change of the record's version. Ramp steps change it each 10 s, so no plan could have been confirmed while a data centre returns; plans rest on the last decision instead. Refusing on a read that shows an older decision was ruled out too: such a read is out of date, and the write may have taken effect.

--- a/src/core/counter.rs
+++ b/src/core/counter.rs
@@ -42,6 +42,28 @@
     RequestUnknown, "requests_outcome_unknown", "Requests whose outcome could not be learnt.";
     // Capacity.
     // Intents and configuration.
+    ConfigurationApplied, "configurations_applied", "Generations that took effect on this VM.";
+    ConfigurationRefused, "configuration_objects_refused", "Objects refused in records that the platform held.";
+    ConfigurationStale, "configurations_stale", "Records ignored because their generation was not above the one in force.";
+    ConfigurationDiverged, "configurations_diverged", "Records ignored because they differ from the one in force at the same generation.";
+    ConfigurationRepaired, "configurations_repaired", "Records replaced because the platform held a bad or older one.";
+    PlatformCalled, "platform_calls", "Calls to the platform, a watch counted as one.";
+    PlatformNoAnswer, "platform_no_answer", "Calls to the platform that had no answer.";
+    PlatformConflict, "platform_conflicts", "Conditional writes refused because the object had changed.";
+    PlatformRefused, "platform_refused", "Calls that the platform refused.";
+    PlanMade, "plans_made", "Plans stored for operators.";
+    PlanConfirmed, "plans_confirmed", "Confirmations that took effect or had taken effect before.";
+    PlanRefusedInvalid, "plans_refused_invalid", "Intents refused because the objects make no sense.";
+    PlanRefusedUnknown, "plans_refused_unknown", "Calls refused because no such plan is stored.";
+    PlanRefusedSuperseded, "plans_refused_superseded", "Confirmations refused because another plan was confirmed first.";
+    PlanRefusedPlatform, "plans_refused_platform", "Operators' calls given up because the platform did not answer.";
+    PlanOutcomeUnknown, "plans_outcome_unknown", "Confirmations whose outcome could not be learnt in time.";
+    PlanRetryNoAnswer, "plan_retries_no_answer", "Operators' calls repeated at the platform after no answer.";
+    PlanRetryConflict, "plan_retries_conflict", "Operators' calls repeated at the platform after a conflict.";
+    PlanRetryStale, "plan_retries_stale", "Operators' calls repeated at the platform after a read that was out of date.";
+    RampAdvanced, "ramps_advanced", "Steps by which this VM raised a returning data centre's share.";
+    RampRetried, "ramps_retried", "Ramp steps tried again after a conflict or no answer.";
+    ConfigurationFetched, "configurations_fetched", "Requests to a peer for its configuration.";
     // Peers.
     PeerMalformed, "peer_messages_malformed", "Messages of peers dropped because they could not be decoded.";
     PeerOverflow, "peer_messages_overflow", "Messages to peers dropped because a queue was full.";
--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -101,10 +101,11 @@
     /// Starts the state machines of the VM `me`. All random numbers come from
     /// `seed`.
     pub fn open(me: Vm, seeds: Vec<Seed>, seed: u64, now: Time) -> Engine {
+        let known = seeds.iter().map(|s| s.id.clone()).collect();
         Engine {
             machines: Machines {
                 membership: Membership::open(me, seeds, now),
-                intents: Intents::open(),
+                intents: Intents::open(known),
                 flows: Flows::open(),
                 capacity: Capacity::open(),
                 requests: Requests::open(),
--- /dev/null
+++ b/src/core/intent/confirming.rs
@@ -0,0 +1,255 @@
+//! The confirmation of a plan: one conditional write of the record.
+//!
+//! The write names the plan, so that an answer that was lost is replaced by
+//! reading the record back. It rests on the version of a record whose last
+//! decision is the one that the plan was made on. Once any other decision is
+//! written, no write of this confirmation can take effect any more, not even
+//! one that is still on its way; only then is a confirmation refused.
+
+use crate::core::{
+    counter::Counter,
+    cx::Cx,
+    intent::{
+        admin::{
+            Reply,
+            status, //
+        },
+        operation::Next,
+        plan::Plan,
+        planning::{
+            plan_key,
+            refuse,
+            sound_record, //
+        },
+        platform::{
+            CONFIGURATION_KEY,
+            MAX_OBJECT,
+            PlatformOp,
+            PlatformOutcome,
+            StoredObject, //
+        },
+        record::Record,
+    },
+    names::{
+        Generation,
+        PlanId, //
+    },
+    notice::Notice,
+};
+
+/// Where a confirmation stands.
+#[derive(Clone, Debug)]
+enum Stage {
+    /// The plan is being read.
+    ReadingPlan,
+    /// The record is being read.
+    ReadingRecord(Box<Plan>),
+    /// The record is being written.
+    Writing(Box<Plan>),
+}
+
+/// The confirmation of a plan.
+#[derive(Clone, Debug)]
+pub(super) struct Confirming {
+    id: PlanId,
+    stage: Stage,
+    /// Whether a write was sent that may have taken effect.
+    has_written: bool,
+}
+
+impl Confirming {
+    /// Begins to confirm the plan `id`.
+    pub(super) fn open(id: PlanId) -> (Confirming, PlatformOp) {
+        let key = plan_key(&id);
+        let confirming = Confirming {
+            id,
+            stage: Stage::ReadingPlan,
+            has_written: false,
+        };
+        (confirming, PlatformOp::Get { key })
+    }
+
+    /// Takes in the end of the call that was asked for last.
+    pub(super) fn on_outcome(&mut self, cx: &mut Cx<'_>, outcome: PlatformOutcome) -> Next {
+        match self.stage.clone() {
+            Stage::ReadingPlan => self.on_plan(cx, outcome),
+            Stage::ReadingRecord(plan) => self.on_record(cx, plan, outcome),
+            Stage::Writing(plan) => self.on_written(cx, plan, outcome),
+        }
+    }
+
+    /// Returns the answer when time has run out.
+    pub(super) fn give_up(&self, cx: &mut Cx<'_>) -> Reply {
+        if !self.has_written {
+            cx.count(Counter::PlanRefusedPlatform);
+            return Reply::error(
+                status::UNAVAILABLE,
+                "the platform did not answer in time; this call wrote nothing",
+                "repeat the same confirm",
+            );
+        }
+        cx.count(Counter::PlanOutcomeUnknown);
+        cx.note(Notice::PlanOutcomeUnknown, self.id.as_str());
+        Reply::error(
+            status::UNKNOWN,
+            "the outcome is unknown: the platform did not answer the write",
+            "repeat the same confirm; it takes effect once",
+        )
+    }
+
+    fn on_plan(&mut self, cx: &mut Cx<'_>, outcome: PlatformOutcome) -> Next {
+        match outcome {
+            PlatformOutcome::Object(object) => match serde_json::from_value(object.value) {
+                Ok(plan) => self.read_record(Box::new(plan)),
+                Err(e) => Next::Reply(unknown_plan(cx, &format!("it cannot be read: {e}"))),
+            },
+            PlatformOutcome::Absent => {
+                Next::Reply(unknown_plan(cx, "no plan with this name is stored"))
+            }
+            _ => {
+                cx.count(Counter::PlanRetryNoAnswer);
+                let key = plan_key(&self.id);
+                Next::AskLater(PlatformOp::Get { key })
+            }
+        }
+    }
+
+    fn read_record(&mut self, plan: Box<Plan>) -> Next {
+        self.stage = Stage::ReadingRecord(plan);
+        Next::Ask(PlatformOp::read_configuration())
+    }
+
+    fn on_record(&mut self, cx: &mut Cx<'_>, plan: Box<Plan>, outcome: PlatformOutcome) -> Next {
+        match outcome {
+            PlatformOutcome::Object(object) => self.decide(cx, plan, &object),
+            PlatformOutcome::Absent => self.decide_on(cx, plan, &Record::default(), 0),
+            _ => {
+                cx.count(Counter::PlanRetryNoAnswer);
+                Next::AskLater(PlatformOp::read_configuration())
+            }
+        }
+    }
+
+    fn decide(&mut self, cx: &mut Cx<'_>, plan: Box<Plan>, object: &StoredObject) -> Next {
+        match sound_record(object) {
+            Some(record) => self.decide_on(cx, plan, &record, object.version),
+            // A reader replaces a bad record soon.
+            None => Next::AskLater(PlatformOp::read_configuration()),
+        }
+    }
+
+    fn decide_on(
+        &mut self,
+        cx: &mut Cx<'_>,
+        plan: Box<Plan>,
+        record: &Record,
+        version: u64,
+    ) -> Next {
+        if let Some(generation) = record.confirmed_generation(&plan.id) {
+            return Next::Reply(confirmed(cx, &plan.id, generation));
+        }
+        if record.decision > plan.base.decision {
+            return Next::Reply(superseded(cx, &plan, record));
+        }
+        if record.decision < plan.base.decision {
+            // The read was out of date: the plan rests on a later record.
+            cx.count(Counter::PlanRetryStale);
+            return Next::AskLater(PlatformOp::read_configuration());
+        }
+        let next = match plan.intent.apply_to(&record.cfg) {
+            Ok(cfg) => record.confirm(cfg, &plan.id),
+            Err(e) => return Next::Reply(refuse(&e)),
+        };
+        let value = next.to_value();
+        if value.to_string().len() > MAX_OBJECT {
+            return Next::Reply(Reply::error(
+                status::UNPROCESSABLE,
+                "the record would be larger than the platform's objects may be",
+                "remove objects that are no longer needed",
+            ));
+        }
+        self.has_written = true;
+        self.stage = Stage::Writing(plan);
+        Next::Ask(PlatformOp::Put {
+            key: CONFIGURATION_KEY.to_owned(),
+            version,
+            value,
+        })
+    }
+
+    fn on_written(&mut self, cx: &mut Cx<'_>, plan: Box<Plan>, outcome: PlatformOutcome) -> Next {
+        if let PlatformOutcome::Object(object) = &outcome {
+            let record = Record::from_value(&object.value).map(|decoded| decoded.record);
+            let generation = record.ok().and_then(|r| r.confirmed_generation(&plan.id));
+            if let Some(generation) = generation {
+                return Next::Reply(confirmed(cx, &plan.id, generation));
+            }
+        }
+        let reason = match outcome {
+            PlatformOutcome::Conflict => Counter::PlanRetryConflict,
+            _ => Counter::PlanRetryNoAnswer,
+        };
+        cx.count(reason);
+        self.stage = Stage::ReadingRecord(plan);
+        match reason {
+            Counter::PlanRetryConflict => Next::Ask(PlatformOp::read_configuration()),
+            _ => Next::AskLater(PlatformOp::read_configuration()),
+        }
+    }
+}
+
+/// The answer to a confirmation that has taken effect.
+#[derive(serde::Serialize)]
+struct Confirmed<'a> {
+    plan: &'a PlanId,
+    generation: Generation,
+}
+
+/// Returns the answer to a confirmation that `record` remembers.
+pub(super) fn known(cx: &mut Cx<'_>, plan: &PlanId, record: &Record) -> Option<Reply> {
+    let generation = record.confirmed_generation(plan)?;
+    Some(confirmed(cx, plan, generation))
+}
+
+fn confirmed(cx: &mut Cx<'_>, plan: &PlanId, generation: Generation) -> Reply {
+    cx.count(Counter::PlanConfirmed);
+    cx.note(
+        Notice::PlanConfirmed,
+        format!("{plan} made generation {generation}"),
+    );
+    Reply::new(status::OK, &Confirmed { plan, generation })
+}
+
+fn superseded(cx: &mut Cx<'_>, plan: &Plan, record: &Record) -> Reply {
+    cx.count(Counter::PlanRefusedSuperseded);
+    cx.note(Notice::PlanRefused, format!("{}: superseded", plan.id));
+    let oldest = record.confirmed.first().map(|c| c.generation);
+    if oldest.is_some_and(|oldest| oldest > plan.base.decision) && is_full(record) {
+        return Reply::error(
+            status::CONFLICT,
+            "so many plans were confirmed since that this one is no longer remembered",
+            "look at `dragonflytrack services` and plan again if the change is missing",
+        );
+    }
+    Reply::error(
+        status::CONFLICT,
+        format!(
+            "the plan rests on the decision of generation {}, and generation {} decided since",
+            plan.base.decision, record.decision
+        ),
+        "plan again",
+    )
+}
+
+fn is_full(record: &Record) -> bool {
+    record.confirmed.len() >= super::record::CONFIRMED_KEPT
+}
+
+fn unknown_plan(cx: &mut Cx<'_>, reason: &str) -> Reply {
+    cx.count(Counter::PlanRefusedUnknown);
+    Reply::error(
+        status::NOT_FOUND,
+        format!("there is no such plan: {reason}"),
+        "ask for a plan first and confirm the name that it shows",
+    )
+}
--- /dev/null
+++ b/src/core/intent/in_force.rs
@@ -0,0 +1,133 @@
+//! The record that is in force on this VM.
+
+use std::sync::Arc;
+
+use crate::{
+    core::{
+        configuration::Configuration,
+        counter::Counter,
+        cx::Cx,
+        intent::{
+            record::Record,
+            validation::check, //
+        },
+        names::Generation,
+        notice::Notice,
+    },
+    kernel::clock::Time,
+};
+
+/// Where a record came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Source {
+    /// The platform.
+    Platform,
+    /// Another VM.
+    Peer,
+}
+
+/// What became of a record that was offered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Offer {
+    /// It is in force now.
+    Applied,
+    /// It was in force already.
+    InForce,
+    /// A higher generation is in force.
+    Stale,
+    /// Another record is in force at the same generation.
+    Diverged,
+    /// Its objects make no sense together.
+    Bad,
+}
+
+/// The record in force.
+///
+/// Invariant: its generation never falls, and its objects make sense together.
+#[derive(Debug, Default)]
+pub(super) struct InForce {
+    record: Arc<Record>,
+    /// Invariant: the digest of `record`.
+    digest: u64,
+    since: Time,
+}
+
+impl InForce {
+    /// Returns the configuration in force.
+    pub(super) fn cfg(&self) -> &Arc<Configuration> {
+        &self.record.cfg
+    }
+
+    /// Returns the record in force.
+    pub(super) fn record(&self) -> &Arc<Record> {
+        &self.record
+    }
+
+    /// Returns the generation in force.
+    pub(super) fn generation(&self) -> Generation {
+        self.record.generation()
+    }
+
+    /// Returns the digest of the record in force.
+    pub(super) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns since when the record has been in force here.
+    pub(super) fn since(&self) -> Time {
+        self.since
+    }
+
+    /// Puts `record` in force if its generation is above the one in force.
+    pub(super) fn offer(&mut self, cx: &mut Cx<'_>, record: Record, source: Source) -> Offer {
+        let offer = self.judge(&record);
+        match offer {
+            Offer::Applied => self.apply(cx, record, source),
+            Offer::Stale => cx.count(Counter::ConfigurationStale),
+            Offer::Diverged => self.report_divergence(cx, source),
+            Offer::InForce | Offer::Bad => {}
+        }
+        offer
+    }
+
+    fn judge(&self, record: &Record) -> Offer {
+        if record.generation() < self.generation() {
+            return Offer::Stale;
+        }
+        if record.generation() == self.generation() {
+            let is_same = record.digest() == self.digest;
+            return if is_same {
+                Offer::InForce
+            } else {
+                Offer::Diverged
+            };
+        }
+        if !check(&record.cfg).is_empty() {
+            return Offer::Bad;
+        }
+        Offer::Applied
+    }
+
+    fn apply(&mut self, cx: &mut Cx<'_>, record: Record, source: Source) {
+        cx.count(Counter::ConfigurationApplied);
+        cx.note(
+            Notice::ConfigurationApplied,
+            format!(
+                "generation {} after {} from {source:?}",
+                record.generation(),
+                self.generation()
+            ),
+        );
+        self.digest = record.digest();
+        self.record = Arc::new(record);
+        self.since = cx.now;
+    }
+
+    fn report_divergence(&self, cx: &mut Cx<'_>, source: Source) {
+        cx.count(Counter::ConfigurationDiverged);
+        cx.note(
+            Notice::ConfigurationDiverged,
+            format!("generation {} from {source:?}", self.generation()),
+        );
+    }
+}
--- a/src/core/intent/mod.rs
+++ b/src/core/intent/mod.rs
@@ -1,205 +1,224 @@
 //! Operators' intents, plans and the configuration in force.
+//!
+//! - [`platform`] names the calls to the platform's object API.
+//! - [`admin`] names the calls of operators.
+//! - [`record`] is the platform object that holds the configuration in force.
+//! - [`validation`] checks the objects of a configuration.
+//! - [`change`] turns an intent into the configuration that follows from it.
+//! - [`plan`] shows what that changes and what it puts at risk.
+//! - [`ramp`] returns a data centre step by step.
+//! - [`relay`] carries the record between the VMs.
+//! - [`status`] tells operators what is in force where.
 
 use std::sync::Arc;
 
-use serde::{
-    Deserialize,
-    Serialize, //
-};
+use serde::Serialize;
 
-use crate::{
-    core::{
-        action::Action,
-        configuration::Configuration,
-        cx::Cx,
-        names::VmId,
-        notice::Notice, //
-    },
-    kernel::clock::{
-        Millis,
-        Time, //
-    },
+use crate::core::{
+    action::Action,
+    configuration::Configuration,
+    cx::Cx,
+    names::VmId, //
 };
 
-/// How often the configuration is read while no watch is open.
-pub const READ_INTERVAL: Millis = Millis::from_secs(1);
-
-/// The platform object that holds the configuration in force.
-pub const CONFIGURATION_KEY: &str = "configurations/current";
-
-/// Identifies a call to the platform within one run of the process.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct PlatformCallId(pub u64);
-
-/// A call to the platform's object API.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PlatformCall {
-    /// Identifies the call.
-    pub id: PlatformCallId,
-    /// What to do.
-    pub op: PlatformOp,
-}
-
-/// What to do at the platform. A key is a kind and a name, as `kind/name`.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PlatformOp {
-    /// Reads an object.
-    Get {
-        /// The object.
-        key: String,
-    },
-    /// Writes an object if its version is still `version`; zero means that it
-    /// must not exist.
-    Put {
-        /// The object.
-        key: String,
-        /// The version that the write rests on.
-        version: u64,
-        /// The new value.
-        value: serde_json::Value,
-    },
-    /// Waits until an object has a version other than `version`.
-    Watch {
-        /// The object.
-        key: String,
-        /// The version that is known.
-        version: u64,
-        /// How long to wait.
-        timeout: Millis,
-    },
-}
-
-/// An object as the platform holds it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct StoredObject {
-    /// Increases with each write.
-    pub version: u64,
-    /// The value.
-    pub value: serde_json::Value,
-}
-
-/// How a call to the platform ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PlatformOutcome {
-    /// The object as it is now.
-    Object(StoredObject),
-    /// There is no such object.
-    Absent,
-    /// The object had another version than the write rested on.
-    Conflict,
-    /// A watch ended without a change.
-    Unchanged,
-    /// The platform refused the call.
-    Refused(String),
-    /// No answer; a write may or may not have taken effect.
-    NoAnswer,
-}
-
-/// Identifies an operator's call within one run of the process.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct AdminCallId(pub u64);
-
-/// A call of an operator.
-#[derive(Clone, Debug, PartialEq)]
-pub struct AdminCall {
-    /// Identifies the call.
-    pub id: AdminCallId,
-    /// What to do.
-    pub op: AdminOp,
-}
-
-/// What an operator asks for.
-#[derive(Clone, Debug, PartialEq)]
-pub enum AdminOp {
-    /// The generation in force on each VM.
-    Status,
-}
-
-/// The answer to an operator's call.
-#[derive(Clone, Debug, PartialEq)]
-pub struct AdminReply {
-    /// The call that is answered.
-    pub id: AdminCallId,
-    /// The HTTP status code.
-    pub status: u16,
-    /// The body.
-    pub body: serde_json::Value,
-}
-
-/// A message about configuration.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum IntentMessage {
-    /// A placeholder that is never sent.
-    Nothing,
-}
+pub mod admin;
+mod calls;
+pub mod change;
+mod confirming;
+mod in_force;
+mod mend;
+pub mod operation;
+pub mod plan;
+mod planning;
+pub mod platform;
+pub mod ramp;
+mod ranking;
+pub mod reader;
+pub mod record;
+pub mod relay;
+mod repair;
+pub mod showing;
+pub mod status;
+pub mod validation;
+
+pub use admin::AdminCall;
+pub use admin::AdminCallId;
+pub use admin::AdminOp;
+pub use admin::AdminReply;
+pub use change::Intent;
+pub use plan::Plan;
+pub use plan::Usage;
+pub use platform::CONFIGURATION_KEY;
+pub use platform::PlatformCall;
+pub use platform::PlatformCallId;
+pub use platform::PlatformOp;
+pub use platform::PlatformOutcome;
+pub use platform::StoredObject;
+pub use record::Record;
+pub use relay::IntentMessage;
+
+use admin::Reply;
+use calls::{
+    Calls,
+    Purpose, //
+};
+use confirming::Confirming;
+use in_force::InForce;
+use operation::{
+    Operations,
+    Work, //
+};
+use planning::Planning;
+use ramp::Ramps;
+use reader::Reader;
+use relay::Relay;
+use repair::Repair;
+use showing::Showing;
+use status::Reported;
 
 /// The state machine of intents and configuration.
 #[derive(Debug, Default)]
 pub struct Intents {
-    current: Arc<Configuration>,
-    next_read: Time,
-    next_call: u64,
+    in_force: InForce,
+    calls: Calls,
+    reader: Reader,
+    relay: Relay,
+    repair: Repair,
+    ramps: Ramps,
+    operations: Operations,
+    usage: Usage,
+    /// The VMs that the settings name.
+    known: Vec<VmId>,
 }
 
 impl Intents {
-    /// Starts with no configuration.
-    pub fn open() -> Intents {
-        Intents::default()
+    /// Starts with no configuration. `known` are the VMs that the settings
+    /// name.
+    pub fn open(known: Vec<VmId>) -> Intents {
+        Intents {
+            known,
+            ..Intents::default()
+        }
     }
 
     /// Returns the configuration in force.
     pub fn current(&self) -> &Arc<Configuration> {
-        &self.current
+        self.in_force.cfg()
+    }
+
+    /// Returns the record in force.
+    pub fn record(&self) -> &Arc<Record> {
+        self.in_force.record()
+    }
+
+    /// Sets the work of backend servers that plans and lists show.
+    pub fn set_usage(&mut self, usage: Usage) {
+        self.usage = usage;
     }
 
     /// Does what has become due.
     pub fn tick(&mut self, cx: &mut Cx<'_>) {
-        if cx.now < self.next_read {
-            return;
-        }
-        self.next_read = cx.now + READ_INTERVAL;
-        let id = PlatformCallId(self.next_call);
-        self.next_call += 1;
-        cx.act(Action::Platform(PlatformCall {
-            id,
-            op: PlatformOp::Get {
-                key: CONFIGURATION_KEY.to_owned(),
-            },
-        }));
+        self.calls.tick(cx.now);
+        self.reader.tick(cx, &mut self.calls);
+        self.repair.tick(cx, &mut self.calls, &self.in_force);
+        self.ramps.tick(cx, &mut self.calls, &self.in_force);
+        self.operations.tick(cx, &mut self.calls, &self.usage);
+        self.relay.tick(cx, &self.in_force);
     }
 
     /// Takes in a message of another VM.
-    pub fn on_message(&mut self, _cx: &mut Cx<'_>, _from: &VmId, _msg: IntentMessage) {}
+    pub fn on_message(&mut self, cx: &mut Cx<'_>, from: &VmId, msg: IntentMessage) {
+        self.relay.on_message(cx, &mut self.in_force, from, msg);
+        self.relay.on_applied(cx, &self.in_force);
+    }
 
     /// Takes in the end of a call to the platform.
-    pub fn on_platform(&mut self, cx: &mut Cx<'_>, _id: PlatformCallId, outcome: PlatformOutcome) {
-        let PlatformOutcome::Object(object) = outcome else {
+    pub fn on_platform(&mut self, cx: &mut Cx<'_>, id: PlatformCallId, outcome: PlatformOutcome) {
+        let Some(call) = self.calls.end(cx, id, &outcome) else {
             return;
         };
-        match serde_json::from_value::<Configuration>(object.value) {
-            Ok(next) => self.apply(cx, next),
-            Err(e) => cx.note(Notice::ConfigurationRefused, e.to_string()),
+        if call.on_configuration {
+            self.on_record(cx, &outcome);
+        }
+        match call.purpose {
+            Purpose::Watch => self.reader.on_outcome(cx, id, &outcome),
+            Purpose::Repair => self.repair.on_outcome(cx, &outcome),
+            Purpose::Ramp => {
+                let Intents {
+                    ramps,
+                    calls,
+                    in_force,
+                    ..
+                } = self;
+                ramps.on_outcome(cx, calls, in_force, outcome);
+            }
+            Purpose::Operation(admin) => {
+                let ids = (admin, id);
+                self.operations
+                    .on_outcome(cx, &mut self.calls, &self.usage, ids, outcome);
+            }
         }
     }
 
     /// Takes in a call of an operator.
     pub fn on_admin(&mut self, cx: &mut Cx<'_>, call: AdminCall) {
-        let body = serde_json::json!({ "generation": self.current.generation });
-        cx.act(Action::Admin(AdminReply {
-            id: call.id,
-            status: 200,
-            body,
-        }));
+        let id = call.id;
+        match call.op {
+            AdminOp::Status => {
+                let report = self.status(cx);
+                answer(cx, id, &report);
+            }
+            AdminOp::Services => {
+                let list = status::services(self.in_force.cfg(), &self.usage);
+                answer(cx, id, &list);
+            }
+            AdminOp::MakePlan(intent) => {
+                let (work, op) = Planning::open(intent);
+                self.begin(cx, id, (Work::Plan(work), op));
+            }
+            AdminOp::ShowPlan(plan) => {
+                let (work, op) = Showing::open(plan);
+                self.begin(cx, id, (Work::Show(work), op));
+            }
+            AdminOp::Confirm(plan) => {
+                if let Some(reply) = confirming::known(cx, &plan, self.in_force.record()) {
+                    cx.act(Action::Admin(reply.to(id)));
+                    return;
+                }
+                let (work, op) = Confirming::open(plan);
+                self.begin(cx, id, (Work::Confirm(work), op));
+            }
+        }
     }
 
-    fn apply(&mut self, cx: &mut Cx<'_>, next: Configuration) {
-        if next.generation <= self.current.generation {
-            return;
+    /// Every answer that shows the record is put in force, whoever asked and
+    /// however late it comes.
+    fn on_record(&mut self, cx: &mut Cx<'_>, outcome: &PlatformOutcome) {
+        match outcome {
+            PlatformOutcome::Object(object) => {
+                self.repair.on_object(cx, &mut self.in_force, object);
+            }
+            PlatformOutcome::Absent => self.repair.on_absent(cx, &self.in_force),
+            _ => {}
         }
-        cx.note(
-            Notice::ConfigurationApplied,
-            format!("generation {}", next.generation),
-        );
-        self.current = Arc::new(next);
+        self.relay.on_applied(cx, &self.in_force);
     }
+
+    fn begin(&mut self, cx: &mut Cx<'_>, id: AdminCallId, work: (Work, PlatformOp)) {
+        self.operations.begin(cx, &mut self.calls, id, work);
+    }
+
+    fn status(&self, cx: &Cx<'_>) -> status::Status {
+        let reported = Reported {
+            known: &self.known,
+            platform_reachable: self.reader.is_reachable(),
+            refused: self.repair.refused(),
+        };
+        status::status(cx, &self.in_force, &reported)
+    }
+}
+
+fn answer(cx: &mut Cx<'_>, id: AdminCallId, body: &impl Serialize) {
+    let reply = Reply::new(admin::status::OK, body);
+    cx.act(Action::Admin(reply.to(id)));
 }
--- /dev/null
+++ b/src/core/intent/record.rs
@@ -0,0 +1,257 @@
+//! The platform object that holds the configuration in force, with the plans
+//! that made it.
+
+use std::{
+    collections::BTreeSet,
+    sync::Arc, //
+};
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use serde::{
+    Deserialize,
+    Serialize,
+    de::DeserializeOwned, //
+};
+use serde_json::Value;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::core::{
+    configuration::Configuration,
+    intent::validation::{
+        ObjectKind,
+        ObjectRef, //
+    },
+    names::{
+        Generation,
+        PlanId, //
+    },
+};
+
+/// How many confirmed plans a record remembers.
+pub const CONFIRMED_KEPT: usize = 64;
+
+/// A plan that was confirmed.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ConfirmedPlan {
+    /// The plan.
+    pub plan: PlanId,
+    /// The generation that it made.
+    pub generation: Generation,
+}
+
+/// An object that was refused, so that its last good version stays in force.
+#[derive(Clone, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[display("{object}: {reason}")]
+pub struct RefusedObject {
+    /// The object.
+    pub object: ObjectRef,
+    /// Why it was refused, with the remedy.
+    pub reason: String,
+}
+
+/// What the platform holds under
+/// [`CONFIGURATION_KEY`](super::CONFIGURATION_KEY).
+///
+/// Invariant: every record that a VM writes rests on the version it replaces
+/// and has a greater generation. So the records of one platform form a chain,
+/// and no two of them share a generation.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The objects in force.
+    pub cfg: Arc<Configuration>,
+    /// The generation of the last decision by operators.
+    ///
+    /// Steps of a ramp raise the generation and leave this number, so that
+    /// they do not void plans.
+    ///
+    /// Invariant: at most `cfg.generation`.
+    pub decision: Generation,
+    /// The last confirmed plans, oldest first.
+    ///
+    /// Invariant: at most [`CONFIRMED_KEPT`].
+    pub confirmed: Vec<ConfirmedPlan>,
+    /// The objects that were refused when this record was written.
+    pub refused: Vec<RefusedObject>,
+}
+
+/// The record as a whole could not be read.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum RecordError {
+    /// The value is no JSON object.
+    #[display("the record is no JSON object; write one with generation and lists")]
+    NotAnObject,
+    /// A field is missing or of another type.
+    #[display("the record's {field} makes no sense: {reason}; mend the field")]
+    Field {
+        /// The field.
+        field: &'static str,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// A record as it was read, before its objects were checked together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decoded {
+    /// The objects that could be decoded, and the rest of the record.
+    pub record: Record,
+    /// The objects that could not be decoded.
+    pub refused: Vec<RefusedObject>,
+}
+
+impl Record {
+    /// Returns the generation of the record.
+    pub fn generation(&self) -> Generation {
+        self.cfg.generation
+    }
+
+    /// Returns a hash of the content that is equal on every VM.
+    pub fn digest(&self) -> u64 {
+        let bytes = postcard::to_stdvec(self).unwrap_or_default();
+        xxh3_64(&bytes)
+    }
+
+    /// Returns the generation that `plan` made, as far as the record
+    /// remembers.
+    pub fn confirmed_generation(&self, plan: &PlanId) -> Option<Generation> {
+        let found = self.confirmed.iter().find(|c| c.plan == *plan)?;
+        Some(found.generation)
+    }
+
+    /// Returns the record that follows this one, with `cfg` in force by the
+    /// decision `plan` of operators.
+    pub fn confirm(&self, cfg: Configuration, plan: &PlanId) -> Record {
+        let mut next = self.succeed(cfg);
+        next.decision = next.generation();
+        if next.confirmed.len() >= CONFIRMED_KEPT {
+            next.confirmed.remove(0);
+        }
+        next.confirmed.push(ConfirmedPlan {
+            plan: plan.clone(),
+            generation: next.generation(),
+        });
+        next.refused.clear();
+        next
+    }
+
+    /// Returns the record that follows this one, with `cfg` in force by no new
+    /// decision of operators.
+    pub fn succeed(&self, mut cfg: Configuration) -> Record {
+        cfg.generation = Generation(self.generation().0 + 1);
+        sort(&mut cfg);
+        Record {
+            cfg: Arc::new(cfg),
+            ..self.clone()
+        }
+    }
+
+    /// Returns the record as the platform stores it: the fields of the
+    /// configuration with those of the record beside them.
+    pub fn to_value(&self) -> Value {
+        let mut value = serde_json::to_value(&*self.cfg).unwrap_or_default();
+        let Some(fields) = value.as_object_mut() else {
+            return value;
+        };
+        let decision = serde_json::json!(self.decision);
+        let confirmed = serde_json::json!(self.confirmed);
+        let refused = serde_json::json!(self.refused);
+        fields.insert("decision".to_owned(), decision);
+        fields.insert("confirmed".to_owned(), confirmed);
+        fields.insert("refused".to_owned(), refused);
+        value
+    }
+
+    /// Reads a record as the platform stores it. A bare configuration is read
+    /// as a decision of operators without a plan.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record as a whole cannot be read. Single objects that
+    /// cannot be decoded are returned as refused.
+    pub fn from_value(value: &Value) -> Result<Decoded, RecordError> {
+        let fields = value.as_object().ok_or(RecordError::NotAnObject)?;
+        let generation = field(fields, "generation")?.unwrap_or_default();
+        if generation == Generation::default() {
+            return Err(RecordError::Field {
+                field: "generation",
+                reason: "it is missing or 0".to_owned(),
+            });
+        }
+        let mut refused = Vec::new();
+        let mut cfg = Configuration {
+            generation,
+            services: objects(fields, "services", ObjectKind::Service, &mut refused)?,
+            backends: objects(fields, "backends", ObjectKind::Backend, &mut refused)?,
+            data_centres: objects(fields, "data_centres", ObjectKind::DataCentre, &mut refused)?,
+        };
+        sort(&mut cfg);
+        let record = Record {
+            cfg: Arc::new(cfg),
+            decision: field(fields, "decision")?
+                .map_or(generation, |d: Generation| d.min(generation)),
+            confirmed: field(fields, "confirmed")?.unwrap_or_default(),
+            refused: field(fields, "refused")?.unwrap_or_default(),
+        };
+        Ok(Decoded { record, refused })
+    }
+}
+
+/// Restores the order that [`Configuration`] promises.
+pub(super) fn sort(cfg: &mut Configuration) {
+    cfg.services.sort_by(|a, b| a.name.cmp(&b.name));
+    cfg.backends.sort_by(|a, b| a.name.cmp(&b.name));
+    cfg.data_centres.sort_by(|a, b| a.name.cmp(&b.name));
+}
+
+type Fields = serde_json::Map<String, Value>;
+
+fn field<T: DeserializeOwned>(
+    fields: &Fields,
+    name: &'static str,
+) -> Result<Option<T>, RecordError> {
+    let Some(value) = fields.get(name) else {
+        return Ok(None);
+    };
+    let read = T::deserialize(value).map_err(|e| RecordError::Field {
+        field: name,
+        reason: e.to_string(),
+    })?;
+    Ok(Some(read))
+}
+
+fn objects<T: DeserializeOwned>(
+    fields: &Fields,
+    name: &'static str,
+    kind: ObjectKind,
+    refused: &mut Vec<RefusedObject>,
+) -> Result<Vec<T>, RecordError> {
+    let list = fields.get(name).and_then(Value::as_array);
+    let list = list.ok_or_else(|| RecordError::Field {
+        field: name,
+        reason: "it is no list".to_owned(),
+    })?;
+    let mut names = BTreeSet::new();
+    let mut sound = Vec::with_capacity(list.len());
+    for value in list {
+        let object = ObjectRef::new(kind, object_name(value));
+        match T::deserialize(value) {
+            Ok(_) if !names.insert(object.name.clone()) => refused.push(RefusedObject {
+                object,
+                reason: "name: another object has it already; give another".to_owned(),
+            }),
+            Ok(read) => sound.push(read),
+            Err(e) => refused.push(RefusedObject {
+                object,
+                reason: format!("{e}; mend the field"),
+            }),
+        }
+    }
+    Ok(sound)
+}
+
+fn object_name(value: &Value) -> &str {
+    value.get("name").and_then(Value::as_str).unwrap_or("")
+}
--- a/src/core/names.rs
+++ b/src/core/names.rs
@@ -60,6 +60,11 @@
     BackendId
 }
 
+name_type! {
+    /// The name of a plan.
+    PlanId
+}
+
 /// Distinguishes successive runs of the process at one address.
 ///
 /// Invariant: a later run of the same VM has a greater number.
--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -55,6 +55,13 @@
     3002 ConfigurationRefused Error "A configuration object was refused.";
     3003 PlatformUnreachable Warn "The platform does not answer.";
     3004 PlatformReachable Info "The platform answers again.";
+    3005 ConfigurationRepaired Warn "A bad or older record at the platform was replaced.";
+    3006 ConfigurationDiverged Error "A record differs from the one in force at the same generation.";
+    3007 PlanStored Info "A plan was stored.";
+    3008 PlanConfirmed Info "A plan was confirmed.";
+    3009 PlanRefused Warn "A plan or confirmation was refused.";
+    3010 PlanOutcomeUnknown Warn "The outcome of a confirmation could not be learnt.";
+    3011 RampAdvanced Info "A returning data centre's share was raised.";
     // 4000: flows.
     // 5000: requests.
     // 6000: capacity.
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -587,7 +587,9 @@
         }
         match self.platform.carry_out(&call.op) {
             Some(outcome) => {
-                self.answer_platform(at, run, call.id, outcome);
+                if !self.platform.loses_answer(&call.op) {
+                    self.answer_platform(at, run, call.id, outcome);
+                }
                 self.wake_watches();
             }
             None => {
@@ -610,7 +612,7 @@
         let slowness = match self.platform.weather {
             Weather::Slow(span) => span,
             Weather::AnswersLost | Weather::Down => return,
-            Weather::Fair => Millis(0),
+            Weather::Fair | Weather::DownAfterWrite => Millis(0),
         };
         let to = self.nodes[at].vm.id.to_string();
         let copies = self.links.copies(&mut self.rng, PLATFORM, &to);
--- a/testkit/src/platform.rs
+++ b/testkit/src/platform.rs
@@ -23,6 +23,19 @@
     Down,
     /// Calls take effect and their answers are lost.
     AnswersLost,
+    /// The next write takes effect without an answer; then it is down.
+    DownAfterWrite,
+}
+
+/// A write that took effect.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Write {
+    /// The object.
+    pub key: String,
+    /// The version that the write rested on.
+    pub base: u64,
+    /// The object as it was written.
+    pub object: StoredObject,
 }
 
 /// The platform.
@@ -32,6 +45,12 @@
     pub weather: Weather,
     /// How many calls it has had, watches counted once.
     pub calls: u64,
+    /// All conditional writes that took effect, in order.
+    pub writes: Vec<Write>,
+    /// Whether reads may be answered from what [`FakePlatform::go_stale`]
+    /// kept.
+    stale: Option<BTreeMap<String, StoredObject>>,
+    reads: u64,
     last_version: u64,
     objects: BTreeMap<String, StoredObject>,
 }
@@ -53,6 +72,30 @@
         object
     }
 
+    /// From now on two of three reads show the objects as they are now.
+    pub fn go_stale(&mut self) {
+        self.stale = Some(self.objects.clone());
+    }
+
+    /// From now on all reads are up to date.
+    pub fn go_fresh(&mut self) {
+        self.stale = None;
+    }
+
+    /// Forgets every object, as a platform restored from nothing.
+    pub fn forget(&mut self) {
+        self.objects.clear();
+    }
+
+    /// Tells whether the answer to `op`, which took effect, is lost.
+    pub fn loses_answer(&mut self, op: &PlatformOp) -> bool {
+        let is_write = matches!(op, PlatformOp::Put { .. });
+        if self.weather == Weather::DownAfterWrite && is_write {
+            self.weather = Weather::Down;
+        }
+        matches!(self.weather, Weather::AnswersLost | Weather::Down)
+    }
+
     /// Carries out `op` and returns its outcome. A watch that would wait
     /// returns `None`.
     pub fn carry_out(&mut self, op: &PlatformOp) -> Option<PlatformOutcome> {
@@ -70,8 +113,13 @@
         }
     }
 
-    fn read(&self, key: &str) -> PlatformOutcome {
-        match self.objects.get(key) {
+    fn read(&mut self, key: &str) -> PlatformOutcome {
+        self.reads += 1;
+        let objects = match &self.stale {
+            Some(stale) if !self.reads.is_multiple_of(3) => stale,
+            _ => &self.objects,
+        };
+        match objects.get(key) {
             Some(object) => PlatformOutcome::Object(object.clone()),
             None => PlatformOutcome::Absent,
         }
@@ -82,6 +130,12 @@
         if current != version {
             return PlatformOutcome::Conflict;
         }
-        PlatformOutcome::Object(self.force(key, value))
+        let object = self.force(key, value);
+        self.writes.push(Write {
+            key: key.to_owned(),
+            base: version,
+            object: object.clone(),
+        });
+        PlatformOutcome::Object(object)
     }
 }
--- /dev/null
+++ b/tests/intent_plans.rs
@@ -0,0 +1,168 @@
+//! Plans and their confirmation through one VM of a fleet.
+
+mod intent_support;
+
+use dragonflytrack::{
+    core::{
+        configuration::{
+            BackendState,
+            DataCentreState, //
+        },
+        intent::{
+            AdminOp,
+            Intent, //
+        },
+        names::Generation,
+    },
+    kernel::clock::Millis,
+};
+use dragonflytrack_testkit::platform::Weather;
+use intent_support::{
+    Fleet6,
+    drain,
+    out, //
+};
+use serde_json::json;
+
+#[test]
+fn nothing_happens_before_confirm() {
+    let mut f = Fleet6::open(1);
+    let plan = f.plan(0, drain("fitting-svc-00"));
+    f.fleet.run_for(Millis::from_secs(10));
+    assert_eq!(f.generations(), [1; 6]);
+    assert_eq!(plan["changes"][0]["old"], "active");
+    assert_eq!(plan["changes"][0]["new"], "draining");
+    assert_eq!(plan["base"]["generation"], 1);
+}
+
+#[test]
+fn a_plan_made_at_one_vm_is_confirmed_at_another() {
+    let mut f = Fleet6::open(2);
+    let plan = f.plan(0, drain("fitting-svc-00"));
+    let reply = f.confirm(4, &plan);
+    assert_eq!(reply.status, 200);
+    f.fleet.run_for(Millis::from_secs(2));
+    assert_eq!(f.generations(), [2; 6]);
+    let cfg = f.cfg(5);
+    let backend = cfg.backend(&"fitting-svc-00".into()).unwrap();
+    assert_eq!(backend.state, BackendState::Draining);
+}
+
+#[test]
+fn the_second_of_two_plans_is_refused_and_told_to_plan_again() {
+    let mut f = Fleet6::open(3);
+    let first = f.plan(0, drain("fitting-svc-00"));
+    let second = f.plan(1, out("bud-b"));
+    assert_eq!(f.confirm(2, &first).status, 200);
+    let reply = f.confirm(3, &second);
+    assert_eq!(reply.status, 409);
+    assert_eq!(reply.body["remedy"], "plan again");
+    f.fleet.run_for(Millis::from_secs(2));
+    assert_eq!(f.generations(), [2; 6]);
+}
+
+#[test]
+fn a_confirm_whose_answer_is_lost_takes_effect_once() {
+    let mut f = Fleet6::open(4);
+    let plan = f.plan(0, drain("fitting-svc-00"));
+    f.fleet.platform.weather = Weather::AnswersLost;
+    let reply = f.confirm(0, &plan);
+    assert!(reply.status == 503 || reply.status == 504, "{reply:?}");
+    f.fleet.platform.weather = Weather::Fair;
+    assert_eq!(f.confirm(1, &plan).status, 200);
+    assert_eq!(f.confirm(2, &plan).status, 200);
+    f.fleet.run_for(Millis::from_secs(2));
+    assert_eq!(f.generations(), [2; 6]);
+}
+
+#[test]
+fn a_confirm_says_so_when_its_outcome_cannot_be_learnt() {
+    let mut f = Fleet6::open(5);
+    let plan = f.plan(0, drain("fitting-svc-00"));
+    f.fleet.platform.weather = Weather::DownAfterWrite;
+    let reply = f.confirm(0, &plan);
+    assert_eq!(reply.status, 504);
+    assert!(reply.body["error"].as_str().unwrap().contains("unknown"));
+    f.fleet.platform.weather = Weather::Fair;
+    assert_eq!(f.confirm(1, &plan).status, 200);
+    f.fleet.run_for(Millis::from_secs(2));
+    assert_eq!(f.generations(), [2; 6]);
+}
+
+#[test]
+fn a_plan_while_the_platform_is_down_is_refused_and_changes_nothing() {
+    let mut f = Fleet6::open(6);
+    f.fleet.platform.weather = Weather::Down;
+    let reply = f.ask(0, AdminOp::MakePlan(drain("fitting-svc-00")));
+    assert_eq!(reply.status, 503);
+}
+
+#[test]
+fn an_intent_that_makes_no_sense_is_refused_with_every_fault() {
+    let mut f = Fleet6::open(7);
+    let unknown = f.ask(0, AdminOp::MakePlan(drain("no-such")));
+    assert_eq!(unknown.status, 404);
+    let backend = json!({
+        "name": "b1", "service": "ghost", "data_centre": "bud-z",
+        "packets": "10.9.9.9:6080", "requests": "0.0.0.0:0",
+        "slots": 0, "connections": 2000,
+    });
+    let intent = Intent::Apply {
+        services: vec![],
+        backends: vec![backend],
+        data_centres: vec![json!({ "name": "bud-a", "share": 120 })],
+    };
+    let reply = f.ask(0, AdminOp::MakePlan(intent));
+    assert_eq!(reply.status, 422);
+    let faults = reply.body["faults"].as_array().unwrap();
+    for field in ["service", "data_centre", "requests", "slots", "share"] {
+        let names = |f: &serde_json::Value| f.as_str().unwrap().contains(&format!("{field} ="));
+        assert!(faults.iter().any(names), "{field} in {faults:?}");
+    }
+}
+
+#[test]
+fn a_plan_shows_capacity_and_risks() {
+    let mut f = Fleet6::open(8);
+    let plan = f.plan(0, out("bud-a"));
+    let fitting = &plan["capacity"][0];
+    assert_eq!(fitting["service"], "fitting-svc");
+    assert_eq!(fitting["before"]["slots"], 30);
+    assert_eq!(fitting["after"]["slots"], 20);
+    assert_eq!(fitting["percent"], 66);
+    let risks = plan["risks"].as_array().unwrap();
+    assert!(risks.iter().any(|r| r["risk"] == "flows-given-up"));
+}
+
+#[test]
+fn a_data_centre_returns_by_a_ramp_and_another_vm_takes_over() {
+    let mut f = Fleet6::open(9);
+    let plan = f.plan(0, out("bud-a"));
+    assert_eq!(f.confirm(0, &plan).status, 200);
+    let plan = f.plan(1, intent_support::take_back("bud-a"));
+    assert_eq!(plan["ramp"].as_array().unwrap().len(), 5);
+    assert_eq!(f.confirm(1, &plan).status, 200);
+    let mut shares = Vec::new();
+    for second in 0..80 {
+        if second == 15 {
+            f.fleet.kill(f.ramp_driver());
+        }
+        f.fleet.run_for(Millis::from_secs(1));
+        let dc = f
+            .cfg(f.alive())
+            .data_centre(&"bud-a".into())
+            .unwrap()
+            .clone();
+        if shares.last() != Some(&dc.share) {
+            shares.push(dc.share);
+        }
+    }
+    assert_eq!(shares, [10, 25, 50, 75, 100]);
+    let dc = f
+        .cfg(f.alive())
+        .data_centre(&"bud-a".into())
+        .unwrap()
+        .clone();
+    assert_eq!(dc.state, DataCentreState::In);
+    assert_eq!(f.cfg(f.alive()).generation, Generation(7));
+}
