Give operators plan, confirm, status and services over the admin API

Cause: the admin API knew only a generation, and the command line had no verbs for operators.

The API takes intents, plans and confirmations as JSON; the command line asks one entry VM after the other, which is safe because a repeated confirmation takes effect once. The platform's edge waits 45 s for an answer: the core has shorter timeouts of its own and still uses what comes late, as a platform that takes 30 s would otherwise never be heard.

Ruled out: a timeout of 5 s at the edge (a slow platform is then a dead one), and asking only one VM (a VM cut off from the platform would fail an operator although another can answer).

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -4,7 +4,13 @@
 
 use gumdrop::Options;
 
+pub mod client;
+pub mod confirm;
+pub mod plan;
 pub mod run;
+pub mod services;
+pub mod status;
+pub mod table;
 
 /// Exit code of a command that did what it was asked.
 pub const EXIT_OK: u8 = 0;
@@ -12,6 +18,10 @@
 pub const EXIT_FAILED: u8 = 1;
 /// Exit code of a command line or settings file that makes no sense.
 pub const EXIT_USAGE: u8 = 2;
+/// Exit code of a command that no entry VM answered.
+pub const EXIT_NO_ANSWER: u8 = 3;
+/// Exit code of a command whose outcome could not be learnt; repeat it.
+pub const EXIT_UNKNOWN: u8 = 4;
 
 /// The command line of `dragonflytrack`.
 #[derive(Debug, Options)]
@@ -30,6 +40,18 @@
     /// Run an entry VM.
     #[options(help = "run an entry VM")]
     Run(run::Run),
+    /// Plan a change.
+    #[options(help = "plan a change; nothing happens before it is confirmed")]
+    Plan(plan::PlanArgs),
+    /// Confirm a plan.
+    #[options(help = "put a plan in force")]
+    Confirm(confirm::ConfirmArgs),
+    /// Show what is in force where.
+    #[options(help = "show the generation in force on each entry VM")]
+    Status(status::StatusArgs),
+    /// List the services.
+    #[options(help = "list the services with their backend servers")]
+    Services(services::ServicesArgs),
     /// Print the version.
     #[options(help = "print the version")]
     Version(Version),
@@ -44,6 +66,10 @@
     let line = CommandLine::parse_args_default_or_exit();
     let code = match line.command {
         Some(Command::Run(args)) => run::run(&args),
+        Some(Command::Plan(args)) => plan::run(&args),
+        Some(Command::Confirm(args)) => confirm::run(&args),
+        Some(Command::Status(args)) => status::run(&args),
+        Some(Command::Services(args)) => services::run(&args),
         Some(Command::Version(Version {})) => version(),
         None => usage(),
     };
--- a/src/edge/admin.rs
+++ b/src/edge/admin.rs
@@ -27,6 +27,7 @@
     http::StatusCode,
     web, //
 };
+use serde_json::json;
 use tokio::sync::oneshot;
 
 use crate::{
@@ -36,8 +37,11 @@
             AdminCall,
             AdminCallId,
             AdminOp,
-            AdminReply, //
+            AdminReply,
+            Intent,
+            platform::MAX_OBJECT, //
         },
+        names::PlanId,
     },
     edge::{
         engine::{
@@ -54,6 +58,9 @@
     kernel::registry::Registry,
 };
 
+/// The largest body of an operator's call, in bytes.
+const MAX_BODY: usize = MAX_OBJECT;
+
 type Waiting = Arc<Mutex<HashMap<AdminCallId, oneshot::Sender<AdminReply>>>>;
 
 /// The service that answers operators.
@@ -90,7 +97,12 @@
                 .route("/healthz", web::get().to(healthz))
                 .route("/readyz", web::get().to(readyz))
                 .route("/metrics", web::get().to(metrics))
+                .app_data(web::PayloadConfig::new(MAX_BODY))
                 .route("/v1/status", web::get().to(status))
+                .route("/v1/services", web::get().to(services))
+                .route("/v1/plans", web::post().to(make_plan))
+                .route("/v1/plans/{id}", web::get().to(show_plan))
+                .route("/v1/plans/{id}/confirm", web::post().to(confirm))
         })
         .workers(1)
         .disable_signals()
@@ -143,6 +155,28 @@
     ask(&shared, AdminOp::Status).await
 }
 
+async fn services(shared: web::Data<Shared>) -> HttpResponse {
+    ask(&shared, AdminOp::Services).await
+}
+
+async fn make_plan(shared: web::Data<Shared>, body: web::Bytes) -> HttpResponse {
+    match serde_json::from_slice::<Intent>(&body) {
+        Ok(intent) => ask(&shared, AdminOp::MakePlan(intent)).await,
+        Err(e) => HttpResponse::BadRequest().json(json!({
+            "error": format!("the body is no intent: {e}"),
+            "remedy": "send {\"intent\": \"drain\", \"backend\": NAME} or another intent of the manual",
+        })),
+    }
+}
+
+async fn show_plan(shared: web::Data<Shared>, id: web::Path<String>) -> HttpResponse {
+    ask(&shared, AdminOp::ShowPlan(PlanId::new(&*id))).await
+}
+
+async fn confirm(shared: web::Data<Shared>, id: web::Path<String>) -> HttpResponse {
+    ask(&shared, AdminOp::Confirm(PlanId::new(&*id))).await
+}
+
 async fn ask(shared: &Shared, op: AdminOp) -> HttpResponse {
     let id = AdminCallId(shared.next_call.fetch_add(1, Ordering::Relaxed));
     let (tx, rx) = oneshot::channel();
--- a/src/edge/platform.rs
+++ b/src/edge/platform.rs
@@ -15,9 +15,14 @@
     WrapFuture, //
 };
 use awc::{
-    Client,
-    ClientResponse,
-    http::StatusCode, //
+    Client, ClientRequest, ClientResponse,
+    http::{
+        StatusCode,
+        header::{
+            IF_MATCH,
+            IF_NONE_MATCH, //
+        },
+    },
 };
 
 use crate::{
@@ -26,7 +31,8 @@
         intent::{
             PlatformOp,
             PlatformOutcome,
-            StoredObject, //
+            StoredObject,
+            platform::MAX_OBJECT, //
         },
     },
     edge::mailbox::{
@@ -42,10 +48,13 @@
 };
 
 /// How long to wait for an answer, on top of a watch's own time.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+///
+/// The core has shorter timeouts of its own. It still uses an answer that
+/// comes after them, so a slow platform is heard in the end.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(45);
 
-/// The largest object, in bytes.
-const MAX_OBJECT: usize = 1 << 20;
+/// The room for an object's version and quotes around its value, in bytes.
+const MAX_ENVELOPE: usize = 1_024;
 
 /// The service that calls the platform.
 pub struct Platform {
@@ -92,38 +101,8 @@
 }
 
 async fn call(client: Client, address: SocketAddr, op: PlatformOp) -> PlatformOutcome {
-    let work = async {
-        match &op {
-            PlatformOp::Get { key } => {
-                let url = format!("http://{address}/v1/objects/{key}");
-                read(client.get(url).send().await.ok()?).await
-            }
-            PlatformOp::Put {
-                key,
-                version,
-                value,
-            } => {
-                let url = format!("http://{address}/v1/objects/{key}");
-                let req = client
-                    .put(url)
-                    .insert_header(("if-match", version.to_string()));
-                read(req.send_json(value).await.ok()?).await
-            }
-            PlatformOp::Watch {
-                key,
-                version,
-                timeout,
-            } => {
-                let url = format!(
-                    "http://{address}/v1/objects/{key}?after={version}&timeout-ms={timeout}",
-                    timeout = timeout.0
-                );
-                read(client.get(url).send().await.ok()?).await
-            }
-        }
-    };
     let limit = ANSWER_TIMEOUT + watch_time(&op);
-    match actix_rt::time::timeout(limit, work).await {
+    match actix_rt::time::timeout(limit, send(&client, address, &op)).await {
         Ok(Some(outcome)) => outcome,
         Ok(None) | Err(_) => PlatformOutcome::NoAnswer,
     }
@@ -132,7 +111,35 @@
 fn watch_time(op: &PlatformOp) -> Duration {
     match op {
         PlatformOp::Watch { timeout, .. } => Duration::from_millis(timeout.0),
-        _ => Duration::ZERO,
+        PlatformOp::Get { .. } | PlatformOp::Put { .. } => Duration::ZERO,
+    }
+}
+
+/// Returns `None` if there was no answer that can be relied on.
+async fn send(client: &Client, address: SocketAddr, op: &PlatformOp) -> Option<PlatformOutcome> {
+    let url = format!("http://{address}/v1/objects/{key}", key = op.key());
+    let sent = match op {
+        PlatformOp::Get { .. } => client.get(url).send().await,
+        PlatformOp::Put { version, value, .. } => {
+            conditional(client.put(url), *version)
+                .send_json(value)
+                .await
+        }
+        PlatformOp::Watch {
+            version, timeout, ..
+        } => {
+            let url = format!("{url}?after={version}&timeout-ms={}", timeout.0);
+            client.get(url).send().await
+        }
+    };
+    read(sent.ok()?).await
+}
+
+/// Version zero stands for an object that must not exist.
+fn conditional(req: ClientRequest, version: u64) -> ClientRequest {
+    match version {
+        0 => req.insert_header((IF_NONE_MATCH, "*")),
+        _ => req.insert_header((IF_MATCH, format!("\"{version}\""))),
     }
 }
 
@@ -142,7 +149,8 @@
 {
     match response.status() {
         StatusCode::OK => {
-            let body = response.body().limit(MAX_OBJECT).await.ok()?;
+            let limit = MAX_OBJECT + MAX_ENVELOPE;
+            let body = response.body().limit(limit).await.ok()?;
             let object = serde_json::from_slice::<StoredObject>(&body).ok()?;
             Some(PlatformOutcome::Object(object))
         }
