--- a/src/core/counter.rs
+++ b/src/core/counter.rs
@@ -34,6 +34,10 @@
     FlowOpened, "flows_opened", "New flows assigned to a backend server.";
     FlowRefused, "flows_refused", "New flows refused because no backend server can take them.";
     FlowBroken, "flows_broken", "Established flows that lost their backend server.";
+    FlowPinned, "flows_pinned", "New flows registered with the homes of their bucket.";
+    FlowGuessed, "flows_guessed", "Packets placed by the lookup table because no VM was sure.";
+    FlowTableFull, "flow_table_full", "Flows not recorded because the flow table was full.";
+    FlowAnswerSkipped, "flow_answers_skipped", "Answers to other VMs skipped because of the control budget.";
     // Requests.
     RequestAnswered, "requests_answered", "Requests answered by a backend server.";
     RequestRefusedNoSlot, "requests_refused_no_slot", "Requests refused because every slot was busy.";
--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -16,6 +16,7 @@
         counter::Counters,
         cx::Cx,
         flow::{
+            FlowStats,
             Flows,
             PacketSource, //
         },
@@ -146,6 +147,11 @@
         self.machines.intents.current()
     }
 
+    /// Returns the size of the flow state.
+    pub fn flow_stats(&self) -> FlowStats {
+        self.machines.flows.stats()
+    }
+
     /// Returns the counts of this process.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -158,7 +164,7 @@
 
     /// Tells whether nothing is left to do before the process may exit.
     pub fn is_idle(&self) -> bool {
-        self.machines.requests.in_flight() == 0
+        self.machines.requests.in_flight() == 0 && self.machines.flows.is_idle()
     }
 
     fn spread_changes(
--- a/src/core/flow/mod.rs
+++ b/src/core/flow/mod.rs
@@ -1,29 +1,68 @@
 //! Where the packets of a flow go.
+//!
+//! Most flows need no state: a lookup table that is the same on every VM maps
+//! the bucket of a flow to its backend server, the bucket's base. When the
+//! configuration changes, the new flows of the changed buckets are pinned by
+//! two VMs, the homes of the bucket. The other VMs relay what they do not know
+//! to a home, which answers where the flow lives.
 
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use hashbrown::HashMap;
 
-use crate::core::{
-    action::Action,
-    configuration::{
-        Backend,
-        Service, //
+use crate::{
+    core::{
+        configuration::Protocol,
+        cx::Cx,
+        membership::MemberState,
+        names::{
+            ServiceId,
+            VmId, //
+        },
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
     },
-    counter::Counter,
-    cx::Cx,
-    names::VmId, //
 };
 
+pub mod activation;
+pub mod answers;
+pub mod buckets;
+pub mod entries;
+pub mod history;
+pub mod homes;
+pub mod message;
 pub mod packet;
+pub mod relay;
+pub mod reply;
+pub mod service;
+pub mod stability;
+pub mod steer;
+pub mod sync;
+pub mod table;
 
+pub use message::FlowMessage;
 pub use packet::Packet;
 
+use activation::Proposal;
+use answers::Answers;
+use entries::Entries;
+use history::HistoryFetch;
+use service::ServiceFlows;
+use stability::Stability;
+use sync::PinSync;
+
+/// How often expired flows are removed.
+const SWEEP_INTERVAL: Millis = Millis::from_secs(10);
+
+/// How long a stopping VM waits for questions of the new homes.
+const HANDOVER_TIME: Millis = Millis::from_secs(4);
+
+/// How long a stopping VM sends pins at most.
+const HANDOVER_TIMEOUT: Millis = Millis::from_secs(30);
+
 /// Who handed a packet to this VM.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PacketSource {
@@ -33,16 +72,43 @@
     Peer,
 }
 
-/// A message about flows.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum FlowMessage {
-    /// Asks the receiver to forget nothing; a placeholder that is never sent.
-    Nothing,
-}
-
 /// The flow state machine.
 #[derive(Debug, Default)]
-pub struct Flows {}
+pub struct Flows {
+    /// The services that were ever configured.
+    ///
+    /// Invariant: only grows, so that an index stays valid.
+    services: Vec<ServiceFlows>,
+    /// The services in force by the destination of their packets.
+    by_address: HashMap<(SocketAddr, Protocol), u16>,
+    entries: Entries,
+    stability: Stability,
+    history: HistoryFetch,
+    proposal: Option<Proposal>,
+    last_proposal: u64,
+    answers: Answers,
+    sync: PinSync,
+    next_sweep: Time,
+    /// When the planned stop of this VM began.
+    stopping: Option<Time>,
+    /// Whether the new homes have what they asked for since then.
+    handed_over: bool,
+}
+
+/// The size of the flow state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FlowStats {
+    /// The flows that are recorded here.
+    pub entries: usize,
+    /// The memory of these in bytes.
+    pub entry_bytes: usize,
+    /// The buckets whose new flows have to be recorded or looked up.
+    pub changed_buckets: usize,
+    /// The buckets whose pins this VM waits for.
+    pub wanted_buckets: usize,
+    /// The services whose history is not known yet.
+    pub unready_services: usize,
+}
 
 impl Flows {
     /// Starts with no flows.
@@ -50,55 +116,144 @@
         Flows::default()
     }
 
+    /// Returns the size of the flow state.
+    pub fn stats(&self) -> FlowStats {
+        FlowStats {
+            entries: self.entries.len(),
+            entry_bytes: self.entries.memory(),
+            changed_buckets: self.services.iter().map(|s| s.changed.len()).sum(),
+            wanted_buckets: self.services.iter().map(|s| s.wanted.len()).sum(),
+            unready_services: self.services.iter().filter(|s| !s.ready).count(),
+        }
+    }
+
+    /// Tells whether a planned stop has handed over what other VMs need.
+    pub fn is_idle(&self) -> bool {
+        self.stopping.is_none() || self.handed_over
+    }
+
+    fn review_handover(&mut self, now: Time) {
+        let Some(since) = self.stopping.map(|t| now.since(t)) else {
+            return;
+        };
+        let nothing_pinned = self.services.iter().all(|s| s.changed.is_empty());
+        let sent = since >= HANDOVER_TIME && self.sync.is_idle();
+        self.handed_over = nothing_pinned || sent || since >= HANDOVER_TIMEOUT;
+    }
+
     /// Takes in a new configuration.
-    pub fn on_configuration(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn on_configuration(&mut self, cx: &mut Cx<'_>) {
+        self.notice_pause(cx);
+        self.by_address.clear();
+        for service in &cx.cfg.services {
+            let at = match self.service_named(&service.name) {
+                Some(at) => at,
+                None => {
+                    self.services.push(ServiceFlows::open(service, cx.now));
+                    self.history.restart(cx.now);
+                    self.services.len() - 1
+                }
+            };
+            self.services[at].protocol = service.protocol;
+            self.services[at].learn(cx.cfg);
+            let key = (service.address, service.protocol);
+            self.by_address.insert(key, at as u16);
+        }
+        self.advance_activation(cx);
+    }
 
     /// Takes in a change of the view.
-    pub fn on_view(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn on_view(&mut self, cx: &mut Cx<'_>) {
+        self.notice_pause(cx);
+        let alive = |m: &crate::core::membership::Member| m.state == MemberState::Alive;
+        let gained: Vec<VmId> = cx
+            .view
+            .others()
+            .filter(|m| alive(m) && self.stability.is_new(&m.vm))
+            .map(|m| m.vm.id.clone())
+            .collect();
+        if !self.stability.notice_members(cx.view, cx.now) {
+            return;
+        }
+        self.sync.restart();
+        if gained.is_empty() {
+            return;
+        }
+        self.history.restart(cx.now);
+        for id in gained {
+            cx.send(&id, FlowMessage::LostSight);
+        }
+    }
 
     /// Hands over what other VMs need before this one stops.
-    pub fn stop(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn stop(&mut self, cx: &mut Cx<'_>) {
+        self.stopping = Some(cx.now);
+    }
 
     /// Does what has become due.
-    pub fn tick(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn tick(&mut self, cx: &mut Cx<'_>) {
+        self.on_view(cx);
+        self.fetch_history(cx);
+        self.advance_activation(cx);
+        self.sync_pins(cx);
+        self.send_answers(cx);
+        self.review_handover(cx.now);
+        if cx.now >= self.next_sweep {
+            self.next_sweep = cx.now + SWEEP_INTERVAL;
+            self.entries.sweep(cx.now);
+        }
+    }
 
     /// Takes in a message of another VM.
-    pub fn on_message(&mut self, _cx: &mut Cx<'_>, _from: &VmId, _msg: FlowMessage) {}
+    pub fn on_message(&mut self, cx: &mut Cx<'_>, from: &VmId, msg: FlowMessage) {
+        self.notice_pause(cx);
+        match msg {
+            FlowMessage::Prepare { number, services } => {
+                self.on_prepare(cx, from, number, &services);
+            }
+            FlowMessage::Prepared { number } => self.on_prepared(cx, from, number),
+            FlowMessage::HistoryWanted { number } => self.send_history(cx, from, number),
+            FlowMessage::History { number, services } => {
+                self.on_history(cx, from, number, services);
+            }
+            FlowMessage::LostSight => self.distrust(cx),
+            FlowMessage::Answers(answers) => self.on_answers(cx, &answers),
+            FlowMessage::PinsWanted { service, buckets } => {
+                self.on_pins_wanted(cx, from, &service, &buckets);
+            }
+            FlowMessage::PinsPart {
+                service,
+                pins,
+                complete,
+            } => self.on_pins_part(cx, from, &service, &pins, complete),
+        }
+    }
 
     /// Steers one packet.
-    pub fn on_packet(&mut self, cx: &mut Cx<'_>, _source: PacketSource, packet: Bytes) {
-        let Some(parsed) = Packet::parse(&packet) else {
-            cx.count(Counter::PacketMalformed);
-            return;
-        };
-        let Some(service) = service_of(cx, &parsed) else {
-            cx.count(Counter::PacketUnknownService);
-            return;
-        };
-        let Some(to) = highest_score(cx, service, parsed.flow_hash()) else {
-            cx.count(Counter::FlowRefused);
-            return;
-        };
-        if parsed.opens_flow() {
-            cx.count(Counter::FlowOpened);
+    pub fn on_packet(&mut self, cx: &mut Cx<'_>, source: PacketSource, packet: Bytes) {
+        self.notice_pause(cx);
+        match source {
+            PacketSource::Fabric => self.steer(cx, packet),
+            PacketSource::Peer => self.steer_relayed(cx, &packet),
         }
-        cx.count(Counter::PacketForwarded);
-        cx.act(Action::Forward { to, packet });
     }
-}
 
-fn service_of<'a>(cx: &Cx<'a>, packet: &Packet) -> Option<&'a Service> {
-    cx.cfg
-        .services
-        .iter()
-        .find(|s| s.address == packet.destination && s.protocol == packet.protocol)
-}
+    fn notice_pause(&mut self, cx: &mut Cx<'_>) {
+        if self.stability.notice_pause(cx.view) {
+            self.distrust(cx);
+        }
+    }
+
+    /// Asks the other VMs before what this one knows is used again.
+    fn distrust(&mut self, cx: &mut Cx<'_>) {
+        for service in &mut self.services {
+            service.distrust(cx.now);
+        }
+        self.history.restart(cx.now);
+        self.sync.restart();
+    }
 
-fn highest_score(cx: &Cx<'_>, service: &Service, flow: u64) -> Option<SocketAddr> {
-    let score = |b: &&Backend| xxh3_64_with_seed(b.name.as_str().as_bytes(), flow);
-    cx.cfg
-        .backends_of(&service.name)
-        .filter(|b| cx.cfg.new_work_share(b) > 0)
-        .max_by_key(score)
-        .map(|b| b.packets)
+    fn service_named(&self, id: &ServiceId) -> Option<usize> {
+        self.services.iter().position(|s| s.id == *id)
+    }
 }
--- /dev/null
+++ b/src/core/flow/steer.rs
@@ -0,0 +1,388 @@
+//! The decision about one packet.
+
+use bytes::Bytes;
+
+use crate::{
+    core::{
+        action::Action,
+        configuration::Protocol,
+        counter::Counter,
+        cx::Cx,
+        flow::{
+            Flows,
+            Packet,
+            answers::Place,
+            buckets::bucket_of,
+            entries::{
+                Entry,
+                EntryKind, //
+            },
+            homes::{
+                Among,
+                HOMES,
+                Ranking,
+                rank, //
+            },
+            relay::{
+                RelayHeader,
+                RelayKind, //
+            },
+            reply,
+            service::ServiceFlows,
+            table::NO_TARGET, //
+        },
+        names::VmId, //
+    },
+    kernel::clock::Millis,
+};
+
+/// The most VMs that one packet passes.
+const MAX_HOPS: u8 = 16;
+
+/// How long a repeated SYN goes to the backend server of the first one.
+const SYN_REPEAT_TIME: Millis = Millis::from_secs(60);
+
+/// How long an established UDP flow may be silent.
+const UDP_IDLE: Millis = Millis::from_secs(60);
+
+/// How often the second home is told that a pin is still in use.
+const MIRROR_INTERVAL: Millis = Millis::from_secs(1_800);
+
+/// A packet with what was found out about it.
+struct Job {
+    service: usize,
+    flow: u64,
+    bucket: usize,
+    syn: bool,
+    closing: bool,
+    hop: u8,
+    /// The hash of the VM that the fabric handed the packet to.
+    asker: u64,
+    packet: Bytes,
+}
+
+impl Flows {
+    /// Steers a packet of the fabric.
+    pub(super) fn steer(&mut self, cx: &mut Cx<'_>, packet: Bytes) {
+        let asker = cx.view.me.id.hash64();
+        let Some(job) = self.read(cx, packet, 0, asker) else {
+            return;
+        };
+        let service = &self.services[job.service];
+        if service.ready && !service.changed.contains(job.bucket) {
+            self.forward_base(cx, job);
+        } else if job.syn {
+            self.entries.remove_cached(job.flow);
+            self.forward_home(cx, job, RelayKind::Open);
+        } else {
+            self.steer_established(cx, job);
+        }
+    }
+
+    /// Steers a packet that another VM relayed.
+    pub(super) fn steer_relayed(&mut self, cx: &mut Cx<'_>, relayed: &Bytes) {
+        let Some((header, packet)) = RelayHeader::split(relayed) else {
+            cx.count(Counter::PacketMalformed);
+            return;
+        };
+        let Some(job) = self.read(cx, packet, header.hop, header.asker) else {
+            return;
+        };
+        match header.kind {
+            RelayKind::Lookup => self.look_up(cx, job),
+            RelayKind::Open => self.open_flow(cx, job),
+            RelayKind::Record => self.record(cx, job, header.backend),
+        }
+    }
+
+    fn read(&self, cx: &mut Cx<'_>, packet: Bytes, hop: u8, asker: u64) -> Option<Job> {
+        let Some(parsed) = Packet::parse(&packet) else {
+            cx.count(Counter::PacketMalformed);
+            return None;
+        };
+        let key = (parsed.destination, parsed.protocol);
+        let Some(service) = self.by_address.get(&key) else {
+            cx.count(Counter::PacketUnknownService);
+            return None;
+        };
+        let flow = parsed.flow_hash();
+        Some(Job {
+            service: usize::from(*service),
+            flow,
+            bucket: bucket_of(flow),
+            syn: parsed.syn,
+            closing: parsed.closing,
+            hop,
+            asker,
+            packet,
+        })
+    }
+
+    fn steer_established(&mut self, cx: &mut Cx<'_>, job: Job) {
+        let Some(entry) = self.entries.get_mut(job.flow, cx.now) else {
+            self.forward_home(cx, job, RelayKind::Lookup);
+            return;
+        };
+        entry.touch(cx.now, job.closing);
+        let target = entry.target;
+        let service = &self.services[job.service];
+        if job.closing && service.is_off_base(job.flow, target) {
+            // The homes have to know that the pin will be of no more use.
+            self.forward_home(cx, job, RelayKind::Lookup);
+        } else {
+            self.forward(cx, job, target);
+        }
+    }
+
+    fn forward_home(&mut self, cx: &mut Cx<'_>, job: Job, kind: RelayKind) {
+        let ranking = self.ranking(cx, &job);
+        let me = &cx.view.me.id;
+        let ready = self.services[job.service].ready;
+        let home = match ranking.first() {
+            Some(first) if first == me && !ready => ranking.get(1),
+            first => first.filter(|id| *id != me),
+        };
+        if let Some(home) = home {
+            self.relay(cx, &job, home, kind, 0);
+            return;
+        }
+        match kind {
+            RelayKind::Open => self.open_flow(cx, job),
+            RelayKind::Lookup | RelayKind::Record => self.look_up(cx, job),
+        }
+    }
+
+    /// Finds the backend server of an established flow.
+    fn look_up(&mut self, cx: &mut Cx<'_>, job: Job) {
+        if let Some(entry) = self.entries.get_mut(job.flow, cx.now) {
+            let stale = entry.idle(cx.now) >= MIRROR_INTERVAL;
+            let is_pin = entry.kind == EntryKind::Pin;
+            entry.touch(cx.now, job.closing);
+            let target = entry.target;
+            self.answer_asker(cx, &job, target);
+            if is_pin && (stale || job.closing) {
+                self.mirror(cx, job, target);
+            } else {
+                self.forward(cx, job, target);
+            }
+            return;
+        }
+        if self.is_sure(cx, &job) {
+            self.place_unregistered(cx, job);
+            return;
+        }
+        let Some(job) = self.pass_on(cx, job, RelayKind::Lookup) else {
+            return;
+        };
+        cx.count(Counter::FlowGuessed);
+        self.forward_base(cx, job);
+    }
+
+    /// Tells whether a flow that is not recorded here is not registered.
+    fn is_sure(&self, cx: &Cx<'_>, job: &Job) -> bool {
+        let service = &self.services[job.service];
+        if !service.ready {
+            return false;
+        }
+        !service.changed.contains(job.bucket)
+            || (service.complete.contains(job.bucket) && self.stability.is_settled(cx.now))
+    }
+
+    fn place_unregistered(&mut self, cx: &mut Cx<'_>, job: Job) {
+        let service = &self.services[job.service];
+        let base = service.base_target(job.bucket);
+        let moved = base != service.new_target(job.bucket);
+        if service.protocol == Protocol::Udp && moved {
+            self.place_datagram(cx, job);
+            return;
+        }
+        self.answer_asker(cx, &job, base);
+        self.forward_base(cx, job);
+    }
+
+    /// Places a flow without a SYN: it is established if it sends soon after
+    /// the change.
+    fn place_datagram(&mut self, cx: &mut Cx<'_>, job: Job) {
+        let service = &self.services[job.service];
+        let target = if cx.now.since(service.activated) < UDP_IDLE {
+            service.base_target(job.bucket)
+        } else {
+            service.new_target(job.bucket)
+        };
+        self.answer_asker(cx, &job, target);
+        self.pin(cx, &job, target);
+        self.mirror(cx, job, target);
+    }
+
+    /// Assigns a new flow to a backend server.
+    fn open_flow(&mut self, cx: &mut Cx<'_>, job: Job) {
+        let job = if self.services[job.service].ready {
+            job
+        } else {
+            match self.pass_on(cx, job, RelayKind::Open) {
+                Some(job) => job,
+                None => return,
+            }
+        };
+        let target = self.choose(cx, &job);
+        let service = &self.services[job.service];
+        if service.open_target(target).is_none() {
+            self.refuse(cx, &job);
+            return;
+        }
+        cx.count(Counter::FlowOpened);
+        if service.is_off_base(job.flow, target) {
+            cx.count(Counter::FlowPinned);
+            self.pin(cx, &job, target);
+            self.mirror(cx, job, target);
+        } else if self.entries.remove(job.flow) {
+            self.mirror(cx, job, target);
+        } else {
+            self.forward(cx, job, target);
+        }
+    }
+
+    fn choose(&mut self, cx: &Cx<'_>, job: &Job) -> u16 {
+        let service = &self.services[job.service];
+        let known = self.entries.get_mut(job.flow, cx.now);
+        known
+            .filter(|e| !e.closed && e.idle(cx.now) < SYN_REPEAT_TIME)
+            .map(|e| e.target)
+            .filter(|t| service.open_target(*t).is_some())
+            .unwrap_or_else(|| service.new_target(job.bucket))
+    }
+
+    /// Records a flow that another home has placed.
+    fn record(&mut self, cx: &mut Cx<'_>, job: Job, backend: u64) {
+        let service = &self.services[job.service];
+        let Some(target) = service.target_named(backend) else {
+            cx.count(Counter::FlowRefused);
+            return;
+        };
+        if service.is_off_base(job.flow, target) {
+            self.pin(cx, &job, target);
+        } else {
+            self.entries.remove(job.flow);
+        }
+        self.forward(cx, job, target);
+    }
+
+    fn pin(&mut self, cx: &mut Cx<'_>, job: &Job, target: u16) {
+        let mut entry = Entry::new(job.service as u16, target, EntryKind::Pin, cx.now);
+        entry.touch(cx.now, job.closing);
+        if self.entries.insert(job.flow, entry).is_err() {
+            cx.count(Counter::FlowTableFull);
+        }
+    }
+
+    /// Lets the other home record the flow and forward the packet.
+    fn mirror(&mut self, cx: &mut Cx<'_>, job: Job, target: u16) {
+        let ranking = self.ranking(cx, &job);
+        let me = &cx.view.me.id;
+        let other = ranking.iter().take(HOMES).find(|id| *id != me);
+        let Some(other) = other else {
+            self.forward(cx, job, target);
+            return;
+        };
+        let service = &self.services[job.service];
+        let backend = service.targets[usize::from(target)].hash;
+        relay(cx, &job, other, RelayKind::Record, job.hop, backend);
+    }
+
+    /// Relays the packet to the VM that is asked after this one. Returns the
+    /// packet if there is none.
+    fn pass_on(&mut self, cx: &mut Cx<'_>, job: Job, kind: RelayKind) -> Option<Job> {
+        let mut ranking = self.ranking(cx, &job);
+        ranking.retain(|id| id.hash64() != job.asker);
+        let me = ranking.iter().position(|id| *id == cx.view.me.id);
+        let next = me.map_or(usize::from(job.hop), |at| at + 1);
+        match ranking.get(next) {
+            Some(next) if job.hop < MAX_HOPS => {
+                self.relay(cx, &job, next, kind, job.hop + 1);
+                None
+            }
+            _ => Some(job),
+        }
+    }
+
+    fn ranking(&self, cx: &Cx<'_>, job: &Job) -> Ranking {
+        let service = &self.services[job.service];
+        let among = if service.ready {
+            Among::Alive
+        } else {
+            Among::Known
+        };
+        rank(cx.view, among, service.hash, job.bucket)
+    }
+
+    fn relay(&self, cx: &mut Cx<'_>, job: &Job, to: &VmId, kind: RelayKind, hop: u8) {
+        relay(cx, job, to, kind, hop, 0);
+    }
+
+    fn answer_asker(&mut self, cx: &mut Cx<'_>, job: &Job, target: u16) {
+        if target == NO_TARGET {
+            return;
+        }
+        let place = Place {
+            service: job.service as u16,
+            target,
+            flow: job.flow,
+        };
+        self.answer(cx, job.asker, place);
+    }
+
+    fn forward_base(&mut self, cx: &mut Cx<'_>, job: Job) {
+        let target = self.services[job.service].base_target(job.bucket);
+        if job.syn {
+            if self.is_closed(&job, target) {
+                self.refuse(cx, &job);
+                return;
+            }
+            cx.count(Counter::FlowOpened);
+        }
+        self.forward(cx, job, target);
+    }
+
+    fn is_closed(&self, job: &Job, target: u16) -> bool {
+        self.services[job.service].open_target(target).is_none()
+    }
+
+    fn forward(&mut self, cx: &mut Cx<'_>, job: Job, target: u16) {
+        let service: &ServiceFlows = &self.services[job.service];
+        let Some(target) = service.open_target(target) else {
+            cx.count(Counter::FlowBroken);
+            reply_reset(cx, &job);
+            return;
+        };
+        cx.count(Counter::PacketForwarded);
+        cx.act(Action::Forward {
+            to: target.address,
+            packet: job.packet,
+        });
+    }
+
+    fn refuse(&self, cx: &mut Cx<'_>, job: &Job) {
+        cx.count(Counter::FlowRefused);
+        reply_reset(cx, job);
+    }
+}
+
+fn reply_reset(cx: &mut Cx<'_>, job: &Job) {
+    if let Some(packet) = reply::reset(&job.packet) {
+        cx.act(Action::Reply { packet });
+    }
+}
+
+fn relay(cx: &mut Cx<'_>, job: &Job, to: &VmId, kind: RelayKind, hop: u8, backend: u64) {
+    let header = RelayHeader {
+        kind,
+        hop,
+        asker: job.asker,
+        backend,
+    };
+    cx.count(Counter::PacketRelayed);
+    cx.act(Action::Relay {
+        to: to.clone(),
+        packet: header.prepend(&job.packet),
+    });
+}
--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -56,6 +56,10 @@
     3003 PlatformUnreachable Warn "The platform does not answer.";
     3004 PlatformReachable Info "The platform answers again.";
     // 4000: flows.
+    4001 FlowHistoryStarted Info "The flow history of a service starts at this VM.";
+    4002 FlowHistoryReceived Info "The flow history of a service is complete.";
+    4003 FlowChangeActivated Info "New flows use the newest lookup tables; all VMs were told before.";
+    4004 FlowChangeUnconfirmed Warn "New flows use the newest lookup tables; some VMs did not confirm in time.";
     // 5000: requests.
     // 6000: capacity.
 }
