Test that established flows survive planned changes

Cause: flows were placed by rendezvous hashing over the servers that take new work, so a drain moved established flows.

--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod backend;
 pub mod fleet;
+pub mod flow_load;
 pub mod links;
 pub mod packet;
 pub mod platform;
@@ -14,5 +15,6 @@
 
 pub use backend::FakeBackend;
 pub use fleet::Fleet;
+pub use flow_load::FlowLoad;
 pub use links::Links;
 pub use platform::FakePlatform;
--- /dev/null
+++ b/tests/flow_changes.rs
@@ -0,0 +1,159 @@
+//! Established flows survive planned changes of the configuration.
+
+use dragonflytrack::{
+    core::configuration::{
+        BackendState,
+        DataCentreState, //
+    },
+    kernel::clock::Millis, //
+};
+use dragonflytrack_testkit::{
+    Fleet,
+    FlowLoad,
+    links::Links,
+    platform::Weather,
+    sample, //
+};
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+fn start(seed: u64) -> (Fleet, FlowLoad) {
+    let cfg = sample::configuration(&sample::CYMRU, &sample::CYMRU_SERVICES);
+    let mut fleet = Fleet::open(&cfg, 2, seed);
+    fleet.run_for(Millis::from_secs(5));
+    let load = FlowLoad::open(&fleet, &cfg, seed);
+    (fleet, load)
+}
+
+/// Runs `scenario` for each seed and expects no broken flow.
+fn expect_none_broken(scenario: impl Fn(&mut Fleet, &mut FlowLoad)) {
+    for seed in SEEDS {
+        let (mut fleet, mut load) = start(seed);
+        load.run_for(&mut fleet, Millis::from_secs(3));
+        scenario(&mut fleet, &mut load);
+        load.run_for(&mut fleet, Millis::from_secs(3));
+        load.send_through_all(&mut fleet);
+        assert!(load.established() > 300, "seed {seed}: too few flows");
+        let broken = load.broken(&[]);
+        assert_eq!(broken, 0, "seed {seed}: {broken} of {}", load.established());
+    }
+}
+
+#[test]
+fn drain() {
+    expect_none_broken(|fleet, load| {
+        load.set_state(fleet, 0, BackendState::Draining);
+        let confirmed = fleet.now;
+        load.run_for(fleet, Millis::from_secs(10));
+        let late = load
+            .opened
+            .iter()
+            .filter(|(at, b)| *b == 0 && *at > confirmed + Millis::from_secs(5));
+        assert_eq!(late.count(), 0);
+    });
+}
+
+#[test]
+fn drain_second_drain_and_undo() {
+    expect_none_broken(|fleet, load| {
+        load.set_state(fleet, 0, BackendState::Draining);
+        load.run_for(fleet, Millis::from_secs(4));
+        load.set_state(fleet, 1, BackendState::Draining);
+        load.run_for(fleet, Millis::from_secs(4));
+        load.set_state(fleet, 0, BackendState::Active);
+        load.run_for(fleet, Millis::from_secs(4));
+        load.set_state(fleet, 1, BackendState::Active);
+    });
+}
+
+#[test]
+fn drain_undone_before_it_was_in_force() {
+    expect_none_broken(|fleet, load| {
+        for pause in [100, 300, 700, 1_100, 1_500] {
+            load.set_state(fleet, 2, BackendState::Draining);
+            load.run_for(fleet, Millis(pause));
+            load.set_state(fleet, 2, BackendState::Active);
+            load.run_for(fleet, Millis(pause));
+        }
+    });
+}
+
+#[test]
+fn two_generations_at_once() {
+    expect_none_broken(|fleet, load| {
+        fleet.links.cut("vm1", "platform");
+        fleet.links.cut("vm4", "platform");
+        load.set_state(fleet, 3, BackendState::Draining);
+        load.run_for(fleet, Millis::from_secs(6));
+        load.set_state(fleet, 4, BackendState::Draining);
+        load.run_for(fleet, Millis::from_secs(6));
+        fleet.links.heal();
+    });
+}
+
+#[test]
+fn backend_server_added() {
+    expect_none_broken(|fleet, load| {
+        let mut added = load.cfg.backends[0].clone();
+        added.name = "bench-diary-99".into();
+        added.packets = "10.1.0.99:6080".parse().unwrap();
+        added.requests = "10.1.0.99:8080".parse().unwrap();
+        fleet.add_backend(&added);
+        load.cfg.backends.push(added);
+        load.cfg.backends.sort_by(|a, b| a.name.cmp(&b.name));
+        load.write(fleet);
+        load.run_for(fleet, Millis::from_secs(8));
+        let at = fleet.backends.len() - 1;
+        assert!(load.held(&[at])[0] > 0);
+    });
+}
+
+#[test]
+fn platform_down_throughout() {
+    expect_none_broken(|fleet, load| {
+        load.set_state(fleet, 0, BackendState::Draining);
+        load.run_for(fleet, Millis(600));
+        fleet.platform.weather = Weather::Down;
+        load.run_for(fleet, Millis::from_secs(10));
+    });
+}
+
+#[test]
+fn lost_and_repeated_messages() {
+    expect_none_broken(|fleet, load| {
+        fleet.links.max_delay = Millis(5);
+        fleet.links.loss = 0.02;
+        fleet.links.duplication = 0.02;
+        load.set_state(fleet, 5, BackendState::Draining);
+        load.run_for(fleet, Millis::from_secs(5));
+        load.set_state(fleet, 6, BackendState::Draining);
+        load.run_for(fleet, Millis::from_secs(5));
+        fleet.links = Links::default();
+    });
+}
+
+#[test]
+fn data_centre_out_and_returned() {
+    for seed in SEEDS {
+        let (mut fleet, mut load) = start(seed);
+        load.run_for(&mut fleet, Millis::from_secs(3));
+        let gone: Vec<usize> = (0..15).filter(|b| b % 3 == 1).collect();
+        load.set_data_centre(&mut fleet, "abertawe", DataCentreState::Out, 0);
+        load.run_for(&mut fleet, Millis::from_secs(5));
+        let before = fleet.delivered.len();
+        load.run_for(&mut fleet, Millis::from_secs(5));
+        let late = fleet.delivered[before..]
+            .iter()
+            .filter(|d| gone.contains(&d.backend));
+        assert_eq!(late.count(), 0, "seed {seed}: packets to a data centre out");
+        for share in [10, 50, 100] {
+            let state = DataCentreState::Returning;
+            load.set_data_centre(&mut fleet, "abertawe", state, share);
+            load.run_for(&mut fleet, Millis::from_secs(3));
+        }
+        load.set_data_centre(&mut fleet, "abertawe", DataCentreState::In, 100);
+        load.run_for(&mut fleet, Millis::from_secs(5));
+        load.send_through_all(&mut fleet);
+        assert_eq!(load.broken(&gone), 0, "seed {seed}");
+    }
+}
