--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -19,6 +19,7 @@
         },
         cx::Cx,
         flow::{
+            FlowStats,
             Flows,
             PacketSource, //
         },
@@ -153,6 +154,11 @@
         self.machines.intents.current()
     }
 
+    /// Returns the size of the flow state.
+    pub fn flow_stats(&self) -> FlowStats {
+        self.machines.flows.stats()
+    }
+
     /// Returns the counts of this process.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -165,7 +171,7 @@
 
     /// Tells whether nothing is left to do before the process may exit.
     pub fn is_idle(&self) -> bool {
-        self.machines.requests.in_flight() == 0
+        self.machines.requests.in_flight() == 0 && self.machines.flows.is_idle()
     }
 
     fn spread_changes(
