--- a/testkit/src/process/address.rs
+++ b/testkit/src/process/address.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Returns a free address and leaves it to the caller.
+    pub fn take_free(mut self) -> SocketAddr {
+        self.take()
+    }
+
     /// Returns a free address.
     ///
     /// # Panics
