Run non-idempotent requests at most once with tickets

Cause: the skeleton ran every request where it arrived, once, with no identity, no retry, no deadline of its own and no cancellation. A repeat at another VM would run twice. The edge also called a connection that closed without an answer "not run", because the HTTP client reports it as a connect error (Disconnected) although the request had been sent.

Change: tickets that bind a request to one run of one VM, relays with repeats to that run, kept answers, hand-over at a planned stop, a retry budget, a short queue, deadlines in the core, and one final answer per call. Redirections are no longer followed by the edge.

Ruled out: a claim in the platform for each request (its outages stop all non-idempotent work), a home by hash (two homes while views differ).

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -96,7 +96,7 @@
     };
     let incarnation = me.incarnation;
     EngineService::spawn(me, settings.seeds.clone(), clock, &registry);
-    Backends::spawn(&registry).map_err(io::Error::other)?;
+    Backends::spawn(clock, &registry).map_err(io::Error::other)?;
     Platform::spawn(settings.platform, &registry).map_err(io::Error::other)?;
     Peers::bind(settings.peers, incarnation, &registry)?;
     Fabric::bind(settings.fabric, settings.relay, settings.replies, &registry).await?;
--- a/src/core/counter.rs
+++ b/src/core/counter.rs
@@ -37,9 +37,41 @@
     // Requests.
     RequestAnswered, "requests_answered", "Requests answered by a backend server.";
     RequestRefusedNoSlot, "requests_refused_no_slot", "Requests refused because every slot was busy.";
+    RequestRefusedNoBackend, "requests_refused_no_backend", "Requests refused because no backend server takes new work.";
     RequestRefusedNoService, "requests_refused_no_service", "Requests refused because no service has their name.";
     RequestRefusedStopping, "requests_refused_stopping", "Requests refused because the VM is stopping.";
-    RequestUnknown, "requests_outcome_unknown", "Requests whose outcome could not be learnt.";
+    RequestRefusedDeadline, "requests_refused_deadline", "Requests refused because their deadline passed before they were sent.";
+    RequestRefusedShed, "requests_refused_shed", "Requests refused because backend servers were overloaded.";
+    RequestRefusedNotConnected, "requests_refused_not_connected", "Requests refused because no connection to a backend server could be made.";
+    RequestRefusedTicketExpired, "requests_refused_ticket_expired", "Requests refused because their ticket had expired unused.";
+    RequestTicketNeeded, "requests_refused_ticket_needed", "Non-idempotent requests refused because they had no ticket.";
+    RequestTicketInvalid, "requests_refused_ticket_invalid", "Requests refused because their ticket could not be read.";
+    RequestTicketMismatch, "requests_refused_ticket_mismatch", "Requests refused because their ticket belongs to another request.";
+    RequestBodyTooLarge, "requests_refused_body_too_large", "Non-idempotent requests refused because of the size of their body.";
+    RequestUnknownTimeout, "requests_unknown_timeout", "Requests whose outcome is unknown because the answer did not come in time.";
+    RequestUnknownConnectionLost, "requests_unknown_connection_lost", "Requests whose outcome is unknown because a connection was lost.";
+    RequestUnknownVmGone, "requests_unknown_vm_gone", "Requests whose outcome is unknown because the VM that ran them is gone.";
+    RequestUnknownDataCentreOut, "requests_unknown_data_centre_out", "Requests whose outcome is unknown because a data centre was taken out.";
+    RequestUnknownStopping, "requests_unknown_stopping", "Requests with a ticket that a stopping VM did not take.";
+    RequestUnknownTicketForgotten, "requests_unknown_ticket_forgotten", "Requests whose outcome is unknown because their ticket is too old.";
+    RequestUnknownAnswerForgotten, "requests_unknown_answer_forgotten", "Requests that ended and whose answer is no longer kept.";
+    RequestRetriedNotConnected, "requests_retried_not_connected", "Retries because no connection to a backend server could be made.";
+    RequestRetriedShed, "requests_retried_shed", "Retries because a backend server was overloaded.";
+    RequestRetriedLate, "requests_retried_late", "Retries because a backend server got the request after its deadline.";
+    RequestRetriedLost, "requests_retried_lost", "Retries of idempotent requests because no answer came.";
+    RequestRetryDenied, "requests_retry_denied", "Retries not made because the retry budget was spent.";
+    RequestQueued, "requests_queued", "Requests that waited for a slot.";
+    RequestQueueFull, "requests_queue_full", "Requests refused because too many waited for a slot.";
+    RequestCancelled, "requests_cancelled", "Requests cancelled because their caller was gone.";
+    CallerGone, "callers_gone", "Callers who were gone before their answer.";
+    AttemptOutcomeLate, "attempt_outcomes_late", "Answers of backend servers that came after the request had ended.";
+    RequestRelayed, "requests_relayed", "Requests relayed to the VM that decides about their ticket.";
+    RequestRelayRepeated, "request_relays_repeated", "Repeats of relayed requests that were not answered.";
+    RelayedRequestLate, "relayed_requests_late", "Relayed requests that arrived after their deadline.";
+    RelayedAnswerLate, "relayed_answers_late", "Answers to relayed requests that had ended.";
+    TicketIssued, "tickets_issued", "Tickets issued.";
+    TicketRepeated, "tickets_repeated", "Repeats of a request with the same ticket.";
+    TicketTableTakenOver, "ticket_tables_taken_over", "Ticket tables taken over from stopping VMs.";
     // Capacity.
     // Intents and configuration.
     // Peers.
--- /dev/null
+++ b/src/core/request/table.rs
@@ -0,0 +1,374 @@
+//! The tickets that one run of a VM has issued, and what became of them.
+
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use smallvec::SmallVec;
+
+use crate::{
+    core::{
+        names::VmId,
+        request::{
+            answer::{
+                Answer,
+                NotRunReason,
+                UnknownReason, //
+            },
+            call::CallId,
+            message::RelayId,
+            ticket::{
+                Digest,
+                Issuer,
+                Ticket, //
+            },
+        },
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+
+/// How long a ticket may be started after its issue.
+pub const USABLE_FOR: Millis = Millis::from_secs(300);
+
+/// How long the outcome of a ticket is known after its issue.
+pub const KEPT_FOR: Millis = Millis::from_secs(600);
+
+/// The most answers that are kept, in bytes.
+pub const MAX_KEPT_BYTES: usize = 8 << 20;
+
+/// The most used tickets that are kept.
+pub const MAX_USED: usize = 32_768;
+
+/// How many may wait for one ticket. Others time out.
+const MAX_WAITERS: usize = 16;
+
+/// How finely the time of issue is recorded.
+const ISSUE_STEP: Millis = Millis::from_secs(1);
+
+/// Who waits for the outcome of a ticket.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Waiter {
+    /// A caller of this VM.
+    Call(CallId),
+    /// Another VM.
+    Peer {
+        /// The VM.
+        vm: VmId,
+        /// Its relay.
+        relay: RelayId,
+    },
+}
+
+/// Those who wait for the outcome of a ticket.
+pub type Waiters = SmallVec<[Waiter; 1]>;
+
+/// What to do with a request that presents a ticket.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Presented {
+    /// Run it now. The waiter is noted.
+    Start,
+    /// It runs already. The waiter is noted.
+    Wait,
+    /// The answer is known.
+    Known(Answer),
+    /// Another run decides about it.
+    HandedOver,
+}
+
+#[derive(Clone, Debug)]
+enum Progress {
+    Running(Waiters),
+    Ended(Answer),
+    /// Ended, and its answer has been discarded.
+    Forgotten,
+}
+
+#[derive(Clone, Debug)]
+struct Used {
+    digest: Digest,
+    progress: Progress,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Issued {
+    at: Time,
+    /// Tickets with lower numbers were issued at `at` at the latest.
+    next: u64,
+}
+
+/// How long ago tickets were issued.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct IssuedExport {
+    age: Millis,
+    next: u64,
+}
+
+/// A ticket table as it travels, without its answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TableExport {
+    secret: u64,
+    next: u64,
+    usable_from: u64,
+    kept_from: u64,
+    issued: Vec<IssuedExport>,
+    used: Vec<(u64, Digest)>,
+}
+
+/// The tickets of one issuer.
+#[derive(Clone, Debug)]
+pub struct TicketTable {
+    issuer: Issuer,
+    secret: u64,
+    /// The number of the next ticket.
+    next: u64,
+    /// Tickets with lower numbers are never started.
+    usable_from: u64,
+    /// Nothing is known of tickets with lower numbers.
+    ///
+    /// Invariant: at most `usable_from`.
+    kept_from: u64,
+    /// In the order of issue.
+    issued: VecDeque<Issued>,
+    /// Invariant: a ticket is in here from its start until its number falls
+    /// below `kept_from`.
+    used: BTreeMap<u64, Used>,
+    /// Ended tickets with their answers, the oldest first.
+    ended: VecDeque<u64>,
+    kept_bytes: usize,
+    /// Whether another run decides about unused tickets. Never reset.
+    handed_over: bool,
+}
+
+impl TicketTable {
+    /// Starts the table of `issuer`.
+    pub fn open(issuer: Issuer, secret: u64) -> TicketTable {
+        TicketTable {
+            issuer,
+            secret,
+            next: 0,
+            usable_from: 0,
+            kept_from: 0,
+            issued: VecDeque::new(),
+            used: BTreeMap::new(),
+            ended: VecDeque::new(),
+            kept_bytes: 0,
+            handed_over: false,
+        }
+    }
+
+    /// Takes over the table of `issuer`. Tickets that were used before count as
+    /// running until their answers arrive.
+    pub fn import(issuer: Issuer, export: TableExport, now: Time) -> TicketTable {
+        let mut table = TicketTable::open(issuer, export.secret);
+        table.next = export.next;
+        table.usable_from = export.usable_from;
+        table.kept_from = export.kept_from;
+        table.issued = export
+            .issued
+            .iter()
+            .map(|i| Issued {
+                at: now - i.age,
+                next: i.next,
+            })
+            .collect();
+        for (number, digest) in export.used {
+            let progress = Progress::Running(Waiters::new());
+            table.used.insert(number, Used { digest, progress });
+        }
+        table
+    }
+
+    /// Hands the table over. From now on no unused ticket is started here.
+    pub fn hand_over(&mut self, now: Time) -> TableExport {
+        self.handed_over = true;
+        TableExport {
+            secret: self.secret,
+            next: self.next,
+            usable_from: self.usable_from,
+            kept_from: self.kept_from,
+            issued: self
+                .issued
+                .iter()
+                .map(|i| IssuedExport {
+                    age: now.since(i.at),
+                    next: i.next,
+                })
+                .collect(),
+            used: self.used.iter().map(|(n, u)| (*n, u.digest)).collect(),
+        }
+    }
+
+    /// Issues a ticket.
+    pub fn issue(&mut self, now: Time) -> Ticket {
+        let number = self.next;
+        self.next += 1;
+        match self.issued.back_mut() {
+            Some(last) if now <= last.at => last.next = self.next,
+            _ => self.issued.push_back(Issued {
+                at: now + ISSUE_STEP,
+                next: self.next,
+            }),
+        }
+        Ticket::issue(self.issuer.clone(), number, self.secret)
+    }
+
+    /// Decides about a request that presents `ticket`.
+    pub fn present(&mut self, ticket: &Ticket, digest: Digest, waiter: Waiter) -> Presented {
+        if ticket.number >= self.next || !ticket.is_genuine(self.secret) {
+            return Presented::Known(Answer::TicketInvalid);
+        }
+        if let Some(used) = self.used.get_mut(&ticket.number) {
+            return used.present(digest, waiter);
+        }
+        if ticket.number < self.kept_from {
+            return Presented::Known(Answer::unknown(UnknownReason::TicketForgotten));
+        }
+        if ticket.number < self.usable_from {
+            return Presented::Known(Answer::not_run(NotRunReason::TicketExpired));
+        }
+        if self.handed_over {
+            return Presented::HandedOver;
+        }
+        let progress = Progress::Running(SmallVec::from_iter([waiter]));
+        self.used.insert(ticket.number, Used { digest, progress });
+        Presented::Start
+    }
+
+    /// Keeps the final answer of a ticket. Returns those who wait for it.
+    pub fn finish(&mut self, number: u64, answer: &Answer) -> Waiters {
+        let Some(used) = self.used.get_mut(&number) else {
+            return Waiters::new();
+        };
+        let Progress::Running(waiters) = &mut used.progress else {
+            return Waiters::new();
+        };
+        let waiters = std::mem::take(waiters);
+        used.progress = Progress::Ended(answer.clone());
+        self.ended.push_back(number);
+        self.kept_bytes += answer.size();
+        self.shrink();
+        waiters
+    }
+
+    /// Forgets what is too old.
+    pub fn tick(&mut self, now: Time) {
+        let usable_from = self.issued_before(now, USABLE_FOR);
+        self.usable_from = self.usable_from.max(usable_from);
+        let kept_from = self.issued_before(now, KEPT_FOR);
+        self.forget_below(kept_from);
+        self.issued.retain(|i| now.since(i.at) < KEPT_FOR);
+    }
+
+    /// Returns the numbers of the tickets that run.
+    pub fn running(&self) -> impl Iterator<Item = u64> {
+        self.used
+            .iter()
+            .filter(|(_, u)| matches!(u.progress, Progress::Running(_)))
+            .map(|(number, _)| *number)
+    }
+
+    /// Returns the kept answers.
+    pub fn answers(&self) -> impl Iterator<Item = (u64, &Answer)> {
+        self.used.iter().filter_map(|(n, u)| match &u.progress {
+            Progress::Ended(answer) => Some((*n, answer)),
+            _ => None,
+        })
+    }
+
+    /// Returns how many used tickets are known.
+    pub fn len(&self) -> usize {
+        self.used.len()
+    }
+
+    /// Tells whether no used ticket is known.
+    pub fn is_empty(&self) -> bool {
+        self.used.is_empty()
+    }
+
+    /// Returns roughly how many bytes the kept answers occupy.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// Tells whether no ticket is left that could be asked for.
+    pub fn is_over(&self) -> bool {
+        self.used.is_empty() && self.kept_from >= self.next
+    }
+
+    fn issued_before(&self, now: Time, age: Millis) -> u64 {
+        let old = self.issued.iter().filter(|i| now.since(i.at) >= age);
+        old.map(|i| i.next).max().unwrap_or(0)
+    }
+
+    fn forget_below(&mut self, kept_from: u64) {
+        let kept_from = kept_from.max(self.kept_from);
+        let first = self.used.first_key_value().map(|(number, _)| *number);
+        if kept_from == self.kept_from && first.is_none_or(|number| number >= kept_from) {
+            return;
+        }
+        self.kept_from = kept_from;
+        self.usable_from = self.usable_from.max(kept_from);
+        let mut freed = 0;
+        self.used.retain(|number, used| {
+            let running = matches!(used.progress, Progress::Running(_));
+            let keep = *number >= kept_from || running;
+            if !keep {
+                freed += used.size();
+            }
+            keep
+        });
+        self.kept_bytes -= freed;
+        self.ended.retain(|number| self.used.contains_key(number));
+    }
+
+    fn shrink(&mut self) {
+        while self.kept_bytes > MAX_KEPT_BYTES {
+            let Some(used) = self.ended.pop_front().and_then(|n| self.used.get_mut(&n)) else {
+                break;
+            };
+            self.kept_bytes -= used.size();
+            used.progress = Progress::Forgotten;
+        }
+        if self.used.len() > MAX_USED {
+            // Forgetting an eighth at once keeps the cost per ticket small.
+            let kept_from = self.used.keys().nth(MAX_USED / 8).copied();
+            self.forget_below(kept_from.unwrap_or(self.kept_from));
+        }
+    }
+}
+
+impl Used {
+    fn present(&mut self, digest: Digest, waiter: Waiter) -> Presented {
+        if digest != self.digest {
+            return Presented::Known(Answer::TicketMismatch);
+        }
+        match &mut self.progress {
+            Progress::Running(waiters) => {
+                if !waiters.contains(&waiter) {
+                    waiters.truncate(MAX_WAITERS - 1);
+                    waiters.push(waiter);
+                }
+                Presented::Wait
+            }
+            Progress::Ended(answer) => Presented::Known(answer.clone()),
+            Progress::Forgotten => {
+                Presented::Known(Answer::unknown(UnknownReason::AnswerForgotten))
+            }
+        }
+    }
+
+    fn size(&self) -> usize {
+        match &self.progress {
+            Progress::Ended(answer) => answer.size(),
+            _ => 0,
+        }
+    }
+}
--- a/src/edge/backends.rs
+++ b/src/edge/backends.rs
@@ -17,7 +17,11 @@
 };
 use awc::{
     Client,
-    error::SendRequestError,
+    Connector,
+    error::{
+        ConnectError,
+        SendRequestError, //
+    },
     http::Method, //
 };
 use bytes::Bytes;
@@ -29,39 +33,54 @@
             Attempt,
             AttemptId,
             AttemptOutcome,
-            Header,
             HttpResponse,
             NotRunReason,
             UnknownReason, //
         },
     },
-    edge::mailbox::{
-        AttemptCancelled,
-        AttemptOut,
-        BACKENDS,
-        BACKENDS_CANCEL,
-        ENGINE,
-        EngineEvent, //
+    edge::{
+        headers::{
+            self,
+            DEADLINE_HEADER,
+            NOT_RUN_HEADER, //
+        },
+        mailbox::{
+            AttemptCancelled,
+            AttemptOut,
+            BACKENDS,
+            BACKENDS_CANCEL,
+            ENGINE,
+            EngineEvent, //
+        },
     },
-    kernel::registry::{
-        Registry,
-        RegistryError, //
+    kernel::{
+        clock::Clock,
+        registry::{
+            Registry,
+            RegistryError, //
+        },
     },
 };
 
 /// The largest body that is read, in bytes.
 pub const MAX_BODY: usize = 8 << 20;
 
-/// Carries the time, in milliseconds since the Unix epoch, after which a
-/// backend server must not start a request.
-pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// How long to wait for a connection to a backend server.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How many connections may be open to all backend servers.
+const MAX_CONNECTIONS: usize = 4_096;
 
-/// By this header a backend server says that it did not run the request.
-pub const NOT_RUN_HEADER: &str = "x-not-run";
+/// How many attempts may run at once. More are refused as not run.
+const MAX_ATTEMPTS: usize = 4_096;
 
 /// The service that sends requests to backend servers.
+///
+/// A connection is used again only after a whole answer was read from it, so
+/// that a late answer never meets a later request.
 pub struct Backends {
     client: Client,
+    clock: Clock,
     engine: Recipient<EngineEvent>,
     running: HashMap<AttemptId, SpawnHandle>,
 }
@@ -72,9 +91,10 @@
     /// # Errors
     ///
     /// Fails if the engine is not registered.
-    pub fn spawn(registry: &Registry) -> Result<(), RegistryError> {
+    pub fn spawn(clock: Clock, registry: &Registry) -> Result<(), RegistryError> {
         let service = Backends {
-            client: Client::builder().disable_timeout().finish(),
+            client: client(),
+            clock,
             engine: registry.find::<EngineEvent>(ENGINE)?,
             running: HashMap::new(),
         };
@@ -85,6 +105,35 @@
     }
 }
 
+impl Backends {
+    /// Tells why an attempt is not even begun.
+    fn refusal(&self, attempt: &Attempt) -> Option<NotRunReason> {
+        // The process may have been paused since the attempt was decided.
+        if self.clock.wall() > attempt.deadline {
+            return Some(NotRunReason::DeadlinePassed);
+        }
+        (self.running.len() >= MAX_ATTEMPTS).then_some(NotRunReason::NoSlot)
+    }
+
+    fn report(&self, id: AttemptId, outcome: AttemptOutcome) {
+        self.engine
+            .do_send(EngineEvent(Event::AttemptDone(id, outcome)));
+    }
+}
+
+fn client() -> Client {
+    let connector = Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .limit(MAX_CONNECTIONS);
+    // A redirection is the caller's to follow. Following it here could run a
+    // request twice.
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
 impl Actor for Backends {
     type Context = Context<Backends>;
 }
@@ -94,16 +143,15 @@
 
     fn handle(&mut self, msg: AttemptOut, cx: &mut Context<Backends>) {
         let id = msg.0.id;
-        let work =
-            run(self.client.clone(), msg.0)
-                .into_actor(self)
-                .map(move |outcome, service, _| {
-                    service.running.remove(&id);
-                    service
-                        .engine
-                        .do_send(EngineEvent(Event::AttemptDone(id, outcome)));
-                });
-        let handle = cx.spawn(work);
+        if let Some(reason) = self.refusal(&msg.0) {
+            self.report(id, AttemptOutcome::NotRun(reason));
+            return;
+        }
+        let work = run(self.client.clone(), msg.0).into_actor(self);
+        let handle = cx.spawn(work.map(move |outcome, service, _| {
+            service.running.remove(&id);
+            service.report(id, outcome);
+        }));
         self.running.insert(id, handle);
     }
 }
@@ -144,46 +192,29 @@
             Ok(body) => answered(&response, body),
             Err(_) => AttemptOutcome::Unknown(UnknownReason::ConnectionLost),
         },
-        Err(SendRequestError::Connect(_) | SendRequestError::Url(_)) => {
-            AttemptOutcome::NotRun(NotRunReason::NotConnected)
-        }
+        Err(e) if surely_not_sent(&e) => AttemptOutcome::NotRun(NotRunReason::NotConnected),
         Err(_) => AttemptOutcome::Unknown(UnknownReason::ConnectionLost),
     }
 }
 
+/// Tells whether no byte of the request has left.
+fn surely_not_sent(e: &SendRequestError) -> bool {
+    match e {
+        // The client says this also of a connection that closed without an
+        // answer after the request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => false,
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => true,
+        _ => false,
+    }
+}
+
 fn answered<S>(response: &awc::ClientResponse<S>, body: Bytes) -> AttemptOutcome {
     if response.headers().contains_key(NOT_RUN_HEADER) {
         return AttemptOutcome::NotRun(NotRunReason::Shed);
     }
-    let headers = response
-        .headers()
-        .iter()
-        .filter(|(name, _)| !is_hop_by_hop(name.as_str()))
-        .map(|(name, value)| Header {
-            name: name.as_str().to_owned(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
-        })
-        .collect();
     AttemptOutcome::Answered(HttpResponse {
         status: response.status().as_u16(),
-        headers,
+        headers: headers::end_to_end(response.headers()),
         body,
     })
 }
-
-/// Tells whether a header belongs to one connection only.
-pub fn is_hop_by_hop(name: &str) -> bool {
-    matches!(
-        name,
-        "connection"
-            | "content-length"
-            | "host"
-            | "keep-alive"
-            | "proxy-authenticate"
-            | "proxy-authorization"
-            | "te"
-            | "trailer"
-            | "transfer-encoding"
-            | "upgrade"
-    )
-}
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -25,10 +25,6 @@
     HttpResponse as WebResponse,
     HttpServer,
     dev::ServerHandle,
-    http::{
-        StatusCode,
-        header, //
-    },
     web, //
 };
 use bytes::Bytes;
@@ -37,21 +33,14 @@
 use crate::{
     core::{
         engine::Event,
-        names::ServiceId,
         request::{
             Answer,
-            Call,
-            CallId,
-            Header,
-            HttpRequest,
-            HttpResponse, //
+            CallId, //
         },
     },
     edge::{
-        backends::{
-            MAX_BODY,
-            is_hop_by_hop, //
-        },
+        backends::MAX_BODY,
+        caller_http,
         mailbox::{
             AnswerOut,
             CALLERS,
@@ -60,26 +49,11 @@
         },
     },
     kernel::{
-        clock::{
-            Clock,
-            Millis, //
-        },
+        clock::Clock,
         registry::Registry, //
     },
 };
 
-/// Carries a caller's deadline, in milliseconds from now.
-pub const TIMEOUT_HEADER: &str = "x-timeout-ms";
-
-/// Carries a ticket for a request that is not idempotent.
-pub const TICKET_HEADER: &str = "x-ticket";
-
-/// Says of a refused request whether it ran: `not-run` or `unknown`.
-pub const OUTCOME_HEADER: &str = "x-outcome";
-
-/// The deadline of a caller that names none.
-const DEFAULT_TIMEOUT: Millis = Millis::from_secs(30);
-
 type Waiting = Arc<Mutex<HashMap<CallId, oneshot::Sender<Answer>>>>;
 
 /// The service that answers callers.
@@ -176,6 +150,10 @@
 
 async fn serve(shared: web::Data<Shared>, req: WebRequest, body: Bytes) -> WebResponse {
     let id = CallId(shared.next_call.fetch_add(1, Ordering::Relaxed));
+    let call = match caller_http::read(id, shared.clock.now(), &req, body) {
+        Ok(call) => call,
+        Err(reason) => return caller_http::reject(reason),
+    };
     let (tx, rx) = oneshot::channel();
     shared
         .waiting
@@ -186,81 +164,9 @@
         shared: shared.clone(),
         call: id,
     };
-    let call = read_call(&shared, id, &req, body);
     shared.engine.do_send(EngineEvent(Event::Call(call)));
     match rx.await {
-        Ok(answer) => respond(answer),
+        Ok(answer) => caller_http::write(answer),
         Err(_) => WebResponse::GatewayTimeout().finish(),
     }
 }
-
-fn read_call(shared: &Shared, id: CallId, req: &WebRequest, body: Bytes) -> Call {
-    let text = |name: &str| req.headers().get(name).and_then(|v| v.to_str().ok());
-    let host = text("host").unwrap_or_default();
-    let service = host.split(':').next().unwrap_or_default();
-    let timeout = text(TIMEOUT_HEADER)
-        .and_then(|t| t.parse().ok())
-        .map_or(DEFAULT_TIMEOUT, Millis);
-    let path = req
-        .uri()
-        .path_and_query()
-        .map_or("/", |path| path.as_str())
-        .to_owned();
-    let headers = req
-        .headers()
-        .iter()
-        .filter(|(name, _)| !is_hop_by_hop(name.as_str()))
-        .map(|(name, value)| Header {
-            name: name.as_str().to_owned(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
-        })
-        .collect();
-    Call {
-        id,
-        service: ServiceId::new(service),
-        ticket: text(TICKET_HEADER).map(str::to_owned),
-        deadline: shared.clock.now() + timeout,
-        request: HttpRequest {
-            method: req.method().as_str().to_owned(),
-            path,
-            headers,
-            body,
-        },
-    }
-}
-
-fn respond(answer: Answer) -> WebResponse {
-    match answer {
-        Answer::Answered(response) => relay(response),
-        Answer::NotRun {
-            reason,
-            retry_after,
-        } => WebResponse::ServiceUnavailable()
-            .insert_header((OUTCOME_HEADER, "not-run"))
-            .insert_header((header::RETRY_AFTER, whole_seconds(retry_after)))
-            .body(format!("not run: {reason}\n")),
-        Answer::Unknown { reason } => WebResponse::GatewayTimeout()
-            .insert_header((OUTCOME_HEADER, "unknown"))
-            .body(format!("outcome unknown: {reason}\n")),
-        Answer::TicketNeeded { ticket } => WebResponse::PreconditionRequired()
-            .insert_header((OUTCOME_HEADER, "not-run"))
-            .insert_header((TICKET_HEADER, ticket))
-            .body("not run: repeat the request with this ticket\n"),
-        Answer::TicketInvalid => WebResponse::BadRequest()
-            .insert_header((OUTCOME_HEADER, "not-run"))
-            .body("not run: the ticket cannot be read; ask for a new one\n"),
-    }
-}
-
-fn relay(response: HttpResponse) -> WebResponse {
-    let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut builder = WebResponse::build(status);
-    for header in &response.headers {
-        builder.append_header((header.name.as_str(), header.value.as_ref()));
-    }
-    builder.body(response.body)
-}
-
-fn whole_seconds(span: Millis) -> String {
-    span.0.div_ceil(1_000).max(1).to_string()
-}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,10 +3,12 @@
 
 pub mod admin;
 pub mod backends;
+pub mod caller_http;
 pub mod callers;
 pub mod engine;
 pub mod fabric;
 pub mod gue;
+pub mod headers;
 pub mod mailbox;
 pub mod peers;
 pub mod platform;
--- a/testkit/src/backend.rs
+++ b/testkit/src/backend.rs
@@ -8,13 +8,16 @@
 use bytes::Bytes;
 use dragonflytrack::{
     core::{
+        configuration::Backend,
         names::BackendId,
         request::{
             Attempt,
             AttemptOutcome,
-            Headers,
+            Header,
             HttpResponse,
-            NotRunReason, //
+            NotRunReason,
+            RUN_HEADER,
+            UnknownReason, //
         },
     },
     kernel::clock::{
@@ -46,6 +49,10 @@
     pub requests: SocketAddr,
     /// Whether it runs. A dead one refuses connections.
     pub alive: bool,
+    /// Whether it runs requests without ever answering.
+    pub mute: bool,
+    /// Counts the runs of its process. Its answers carry the number.
+    pub process_run: u64,
     /// How many requests it bears at once now; more make it shed.
     pub allowance: u32,
     /// How long a request takes.
@@ -90,17 +97,48 @@
             request: format!("{} {}", attempt.request.method, attempt.request.path),
             body: attempt.request.body.clone(),
         });
+        let run = Header {
+            name: RUN_HEADER.to_owned(),
+            value: Bytes::from(self.process_run.to_string()),
+        };
         let response = HttpResponse {
             status: 200,
-            headers: Headers::new(),
+            headers: vec![run],
             body: attempt.request.body.clone(),
         };
         Reaction::After(self.service_time, AttemptOutcome::Answered(response))
     }
 
-    /// Ends one run.
-    pub fn finish(&mut self) {
+    /// Ends one run. Returns what its caller sees, if anything.
+    pub fn finish(&mut self, outcome: AttemptOutcome) -> Option<AttemptOutcome> {
         self.running = self.running.saturating_sub(1);
+        if self.mute {
+            return None;
+        }
+        if !self.alive {
+            return Some(AttemptOutcome::Unknown(UnknownReason::ConnectionLost));
+        }
+        Some(outcome)
+    }
+
+    /// Creates a backend server that is warm and runs.
+    pub fn warm(backend: &Backend) -> FakeBackend {
+        const SERVICE_TIME: Millis = Millis(50);
+        FakeBackend {
+            name: backend.name.clone(),
+            packets: backend.packets,
+            requests: backend.requests,
+            alive: true,
+            mute: false,
+            process_run: 1,
+            allowance: backend.slots,
+            service_time: SERVICE_TIME,
+            running: 0,
+            most_offered: 0,
+            runs: Vec::new(),
+            flows: HashSet::new(),
+            strange_packets: 0,
+        }
     }
 
     /// Takes in a packet of the caller at `source`. Returns whether the flow
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -246,23 +246,10 @@
 
     /// Adds a backend server that is warm and runs.
     pub fn add_backend(&mut self, backend: &dragonflytrack::core::configuration::Backend) {
-        const SERVICE_TIME: Millis = Millis(50);
         let at = self.backends.len();
         self.by_packets.insert(backend.packets, at);
         self.by_requests.insert(backend.requests, at);
-        self.backends.push(FakeBackend {
-            name: backend.name.clone(),
-            packets: backend.packets,
-            requests: backend.requests,
-            alive: true,
-            allowance: backend.slots,
-            service_time: SERVICE_TIME,
-            running: 0,
-            most_offered: 0,
-            runs: Vec::new(),
-            flows: std::collections::HashSet::new(),
-            strange_packets: 0,
-        });
+        self.backends.push(FakeBackend::warm(backend));
     }
 
     fn add_vm(&mut self, data_centre: &DataCentreId) {
@@ -416,8 +403,9 @@
             Arrival::Packet(to, packet) => self.packet_at_backend(to, &packet),
             Arrival::Request(at, run, attempt) => self.request_at_backend(at, run, &attempt),
             Arrival::Finished(backend, at, run, id, outcome) => {
-                self.backends[backend].finish();
-                self.answer_attempt(backend, at, run, id, outcome);
+                if let Some(seen) = self.backends[backend].finish(outcome) {
+                    self.answer_attempt(backend, at, run, id, seen);
+                }
             }
             Arrival::Platform(at, run, call) => self.call_at_platform(at, run, call),
             Arrival::PlatformAnswer(at, run, id, outcome) => {
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -6,7 +6,9 @@
 //! all random numbers come from one seed.
 
 pub mod backend;
+pub mod caller;
 pub mod fleet;
+pub mod history;
 pub mod links;
 pub mod packet;
 pub mod platform;
--- /dev/null
+++ b/tests/request_history.rs
@@ -0,0 +1,236 @@
+//! Histories of concurrent requests under faults, checked by callers' and
+//! backend servers' records alone.
+
+use std::collections::BTreeSet;
+
+use dragonflytrack::{
+    core::{
+        Engine,
+        request::{
+            Answer,
+            CallId, //
+        },
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+use dragonflytrack_testkit::{
+    FakeBackend,
+    Fleet,
+    caller::{
+        Callers,
+        Repeat, //
+    },
+    history::{
+        History,
+        OpId,
+        Record,
+        Said,
+        Sent,
+        Violation, //
+    },
+    sample, //
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+
+const STEP: Millis = Millis(20);
+const SERVICE: &str = "fitting-svc";
+
+fn fleet(seed: u64) -> Fleet {
+    let cfg = sample::configuration(&sample::HU_CENTRAL, &sample::HU_CENTRAL_SERVICES);
+    let mut fleet = Fleet::open(&cfg, 2, seed);
+    fleet.run_for(Millis::from_secs(3));
+    fleet
+}
+
+/// One fault, chosen at random.
+fn break_something(fleet: &mut Fleet, stopping: &mut BTreeSet<usize>, rng: &mut SmallRng) {
+    let vm = rng.random_range(0..fleet.nodes.len());
+    let other = rng.random_range(0..fleet.nodes.len());
+    let name = |at: usize| format!("vm{at}");
+    let backend = rng.random_range(0..fleet.backends.len());
+    match rng.random_range(0..10) {
+        0 => fleet.kill(vm),
+        1 => fleet.freeze(vm, Millis(rng.random_range(500..15_000))),
+        2 if fleet.nodes[vm].engine.is_some() => {
+            stopping.insert(vm);
+            fleet.stop(vm);
+        }
+        3 => fleet.links.cut(&name(vm), &name(other)),
+        4 => fleet.links.cut_one_way(name(vm), name(other)),
+        5 => fleet.links.heal(),
+        6 => restart_backend(&mut fleet.backends, backend, rng),
+        7 => silence_one(&mut fleet.backends, backend),
+        8 => fleet.backends[backend].service_time = Millis(rng.random_range(5..800)),
+        _ => {
+            fleet.links.loss = rng.random_range(0.0..0.15);
+            fleet.links.duplication = rng.random_range(0.0..0.3);
+            fleet.links.max_delay = Millis(rng.random_range(2..300));
+        }
+    }
+}
+
+/// Starts the backend servers that are down, and ends one in two cases of three.
+fn restart_backend(backends: &mut [FakeBackend], at: usize, rng: &mut SmallRng) {
+    for backend in backends.iter_mut().filter(|b| !b.alive) {
+        backend.alive = true;
+        backend.process_run += 1;
+    }
+    backends[at].alive = rng.random_bool(0.33);
+}
+
+/// Makes one backend server run requests without answering, and no other.
+fn silence_one(backends: &mut [FakeBackend], at: usize) {
+    for backend in backends.iter_mut() {
+        backend.mute = false;
+    }
+    backends[at].mute = true;
+}
+
+/// Ends the processes whose planned stop is complete, and restarts what has ended.
+fn restart(fleet: &mut Fleet, stopping: &mut BTreeSet<usize>, rng: &mut SmallRng) {
+    for vm in 0..fleet.nodes.len() {
+        let is_idle = fleet.nodes[vm].engine.as_ref().is_none_or(Engine::is_idle);
+        if is_idle && stopping.remove(&vm) {
+            fleet.kill(vm);
+        }
+        let is_down = fleet.nodes[vm].engine.is_none();
+        if is_down && rng.random_bool(0.02) {
+            fleet.start(vm);
+        }
+    }
+}
+
+fn run(seed: u64, repeat: Repeat) -> (History, Callers, Fleet) {
+    let mut fleet = fleet(seed);
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+    let mut stopping = BTreeSet::new();
+    let mut callers = Callers::open(SERVICE);
+    callers.repeat = repeat;
+    for step in 0..3_000 {
+        if rng.random_bool(0.5) {
+            let method = if rng.random_bool(0.7) { "POST" } else { "GET" };
+            let timeout = Millis(rng.random_range(200..4_000));
+            callers.begin(&mut fleet, method, timeout);
+        }
+        if step % 40 == 0 {
+            break_something(&mut fleet, &mut stopping, &mut rng);
+        }
+        restart(&mut fleet, &mut stopping, &mut rng);
+        fleet.run_for(STEP);
+        callers.step(&mut fleet);
+    }
+    for _ in 0..2_000 {
+        fleet.run_for(STEP);
+        callers.step(&mut fleet);
+    }
+    let mut history = callers.history.clone();
+    history.add_runs(&fleet.backends);
+    (history, callers, fleet)
+}
+
+#[test]
+fn no_violation_in_random_histories() {
+    for seed in 1..=12 {
+        let (history, callers, _) = run(seed, Repeat::SameTicket);
+        assert_eq!(history.check(), [], "seed {seed}");
+        println!(
+            "seed {seed}: {} answered, {} not run, {} unknown",
+            callers.answered, callers.not_run, callers.unknown
+        );
+        // The history must show work and trouble alike.
+        assert!(callers.answered > 300, "seed {seed}: {}", callers.answered);
+        assert!(callers.unknown > 20, "seed {seed}: {}", callers.unknown);
+    }
+}
+
+#[test]
+fn repeats_with_new_tickets_run_twice() {
+    let mut doubled = 0;
+    for seed in 1..=3 {
+        let (history, _, _) = run(seed, Repeat::NewTicket);
+        let violations = history.check();
+        doubled += violations
+            .iter()
+            .filter(|v| matches!(v, Violation::DoubleRun(_)))
+            .count();
+    }
+    assert!(doubled > 0);
+}
+
+const FIRST: Sent = Sent {
+    vm: 0,
+    call: CallId(1),
+};
+
+fn send() -> Record {
+    Record::Send {
+        sent: FIRST,
+        op: OpId(7),
+        idempotent: false,
+    }
+}
+
+fn told(said: Said) -> Record {
+    Record::Final { sent: FIRST, said }
+}
+
+fn ran(op: u64) -> Record {
+    Record::Run {
+        at: Time(5),
+        op: OpId(op),
+    }
+}
+
+fn check(records: Vec<Record>) -> Vec<Violation> {
+    History { records }.check()
+}
+
+#[test]
+fn the_checker_passes_a_right_history() {
+    let answered = told(Said::Answered("op 7".to_owned()));
+    assert_eq!(check(vec![send(), ran(7), answered]), []);
+    assert_eq!(check(vec![send(), told(Said::NotRun)]), []);
+    assert_eq!(check(vec![send(), ran(7), told(Said::Unknown)]), []);
+    assert_eq!(check(vec![send(), Record::Left { sent: FIRST }]), []);
+}
+
+#[test]
+fn the_checker_finds_each_planted_fault() {
+    let answered = told(Said::Answered("op 7".to_owned()));
+    let twice = vec![send(), ran(7), ran(7), answered.clone()];
+    assert_eq!(check(twice), [Violation::DoubleRun(OpId(7))]);
+
+    let not_run = vec![send(), ran(7), told(Said::NotRun)];
+    assert_eq!(check(not_run), [Violation::FalseNotRun(OpId(7))]);
+
+    let lost = vec![send(), ran(7)];
+    assert_eq!(check(lost), [Violation::LostAnswer(FIRST)]);
+
+    let crossed = vec![send(), ran(7), told(Said::Answered("op 8".to_owned()))];
+    assert_eq!(check(crossed), [Violation::CrossedAnswer(FIRST)]);
+
+    let many = vec![send(), ran(7), answered.clone(), told(Said::Unknown)];
+    assert_eq!(check(many), [Violation::ManyAnswers(FIRST)]);
+
+    let invented = vec![send(), answered];
+    assert_eq!(check(invented), [Violation::InventedAnswer(FIRST)]);
+}
+
+#[test]
+fn a_ticket_is_needed_for_a_post() {
+    let mut fleet = fleet(1);
+    let mut callers = Callers::open(SERVICE);
+    callers.begin(&mut fleet, "POST", Millis::from_secs(1));
+    fleet.run_for(STEP);
+    let [first] = fleet.answers.as_slice() else {
+        panic!("expected one answer, got {:?}", fleet.answers);
+    };
+    assert!(matches!(first.answer, Answer::TicketNeeded { .. }));
+}
