--- a/emulator/src/configure.rs
+++ b/emulator/src/configure.rs
@@ -87,9 +87,13 @@
 }
 
 async fn write(platform: SocketAddr, version: u64, cfg: &Configuration) -> io::Result<()> {
+    let precondition = match version {
+        0 => ("if-none-match", "*".to_owned()),
+        _ => ("if-match", format!("\"{version}\"")),
+    };
     let sent = Client::default()
         .put(url(platform))
-        .insert_header(("if-match", version.to_string()))
+        .insert_header(precondition)
         .send_json(cfg)
         .await;
     match sent.map(|response| response.status()) {
