Let callers ask for an unknown outcome with the same ticket

Callers took the first such answer as final, although a ticket lets the request run once however often it comes. They now repeat it up to three times.

Why a VM that has just joined calls the issuer of a handed-over ticket gone is left to the part on requests.

--- a/emulator/src/callers/requests.rs
+++ b/emulator/src/callers/requests.rs
@@ -52,6 +52,13 @@
 /// How long a caller waits before it turns to another entry VM.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How often a caller asks for an unknown outcome, by repeating the request
+/// with its ticket.
+const UNKNOWN_TRIES: u32 = 3;
+
+/// How long a caller waits between these.
+const UNKNOWN_INTERVAL: Duration = Duration::from_millis(300);
+
 /// How a request ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum RequestEnd {
@@ -83,7 +90,7 @@
     Receipt(Receipt),
     Ticket(String),
     NotRun { why: String, wait: Duration },
-    Unknown,
+    Unknown(String),
     NotConnected,
     ConnectionLost,
     Strange(String),
@@ -101,6 +108,8 @@
     service: &'a str,
     request: Request,
     ticket: Option<String>,
+    /// How many answers said that the outcome is unknown.
+    unknown: u32,
     rng: SmallRng,
     started: Instant,
 }
@@ -138,6 +147,7 @@
             end: RequestEnd::Refused,
         },
         ticket: None,
+        unknown: 0,
         rng: SmallRng::seed_from_u64(u64::from(load.host) << 32 | u64::from(number)),
         started: Instant::now(),
     };
@@ -182,8 +192,16 @@
                 self.request.refusals.push("connection lost".to_owned());
                 Next::Repeat(RECONNECT_INTERVAL)
             }
-            Reply::Unknown if self.request.idempotent => Next::Repeat(RECONNECT_INTERVAL),
-            Reply::Unknown => Next::End(RequestEnd::Unknown),
+            Reply::Unknown(why) => {
+                self.request.refusals.push(why);
+                self.unknown += 1;
+                // A ticket lets the request run once, however often it comes.
+                if self.request.idempotent || self.unknown < UNKNOWN_TRIES {
+                    Next::Repeat(UNKNOWN_INTERVAL)
+                } else {
+                    Next::End(RequestEnd::Unknown)
+                }
+            }
             Reply::Strange(why) => Next::End(RequestEnd::Wrong(why)),
         }
     }
@@ -248,6 +266,7 @@
     let Ok(body) = response.body().await else {
         return Reply::ConnectionLost;
     };
+    let why = || String::from_utf8_lossy(&body).trim().to_owned();
     match (response.status(), ticket, outcome.as_deref()) {
         (StatusCode::OK, _, _) => match serde_json::from_slice(&body) {
             Ok(receipt) => Reply::Receipt(receipt),
@@ -255,10 +274,10 @@
         },
         (StatusCode::PRECONDITION_REQUIRED, Some(ticket), _) => Reply::Ticket(ticket),
         (_, _, Some("not-run")) => Reply::NotRun {
-            why: String::from_utf8_lossy(&body).trim().to_owned(),
+            why: why(),
             wait: Duration::from_secs(wait.unwrap_or(1)),
         },
-        (_, _, Some("unknown")) => Reply::Unknown,
+        (_, _, Some("unknown")) => Reply::Unknown(why()),
         (status, _, _) => Reply::Strange(format!("answer has status {status}")),
     }
 }
