Own each backend server under a lease and lend its slots

Cause: every VM counted its own requests only, so that six VMs together sent up to six times what a backend server bears. One VM of the data centre now owns each backend server by a lease that rests on timed promises of the other VMs, hands out its slots and lends them in whole slots.

--- /dev/null
+++ b/src/core/capacity/book.rs
@@ -0,0 +1,213 @@
+//! The leases on the slots of one backend server, kept by its owner.
+
+use crate::{
+    core::{
+        capacity::{
+            LONG_RUN, RUN_LIMIT,
+            allowance::Allowance,
+            message::{
+                AskId,
+                HeldLoan,
+                LeaseId,
+                Load,
+                RunBounds, //
+            },
+        },
+        names::VmId,
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+
+/// The longest time from lending a slot to the last start of a request on it.
+pub const LOAN_SPAN: Millis = Millis(1_500);
+
+/// A loan whose borrower has not been heard of for this long after its last
+/// possible start is free again.
+const UNHEARD_LOAN: Millis = Millis::from_secs(3);
+
+/// Who uses a slot on loan.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Borrower {
+    /// The VM.
+    pub vm: VmId,
+    /// The request that the loan answers.
+    pub ask: AskId,
+}
+
+/// The right to run one request at a time on a backend server.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    /// Identifies the lease.
+    pub id: LeaseId,
+    /// `None` if this VM uses the slot itself.
+    pub borrower: Option<Borrower>,
+    /// When the lease was granted.
+    pub granted: Time,
+    /// No request starts on the slot after this.
+    pub until: Time,
+    /// When the borrower last listed the loan.
+    listed: Time,
+    /// When a run that the borrower announced as long must have ended.
+    bound: Option<Time>,
+}
+
+impl Lease {
+    /// Returns the time at which no run can remain on the slot.
+    fn last_end(&self) -> Time {
+        match (&self.borrower, self.bound) {
+            (_, Some(bound)) => bound,
+            (Some(_), None) => self.until + RUN_LIMIT,
+            (None, None) => self.granted + RUN_LIMIT,
+        }
+    }
+
+    fn is_long(&self, now: Time) -> bool {
+        let is_own = self.borrower.is_none();
+        self.bound.is_some() || is_own && now.since(self.granted) >= LONG_RUN
+    }
+
+    fn is_over(&self, now: Time) -> bool {
+        if self.borrower.is_none() {
+            return now >= self.last_end();
+        }
+        if let Some(bound) = self.bound {
+            return now >= bound;
+        }
+        now >= self.until.max(self.listed) + UNHEARD_LOAN
+    }
+}
+
+/// The leases on the slots of one backend server.
+#[derive(Debug)]
+pub struct Book {
+    /// How many requests the backend server bears.
+    pub allowance: Allowance,
+    /// Whether this VM owns the backend server.
+    pub is_held: bool,
+    /// When this VM last ceased to own the backend server.
+    pub last_held: Option<Time>,
+    /// Whether this VM is about to give the backend server up.
+    pub is_releasing: bool,
+    leases: Vec<Lease>,
+}
+
+impl Book {
+    /// Opens the book of a backend server that is not owned yet.
+    pub fn open(allowance: Allowance) -> Book {
+        Book {
+            allowance,
+            is_held: false,
+            last_held: None,
+            is_releasing: false,
+            leases: Vec::new(),
+        }
+    }
+
+    /// Returns how many slots are in use or lent.
+    pub fn leased(&self) -> u32 {
+        self.leases.len() as u32
+    }
+
+    /// Tells whether no slot is in use or lent.
+    pub fn is_idle(&self) -> bool {
+        self.leases.is_empty()
+    }
+
+    /// Returns the load if at most `limit` slots are open and other VMs'
+    /// earlier runs take `foreign` of them.
+    pub fn load(&self, now: Time, limit: u32, foreign: u32) -> Load {
+        let open = if self.is_held && !self.is_releasing {
+            self.allowance.at(now).min(limit)
+        } else {
+            0
+        };
+        Load {
+            open,
+            leased: self.leased() + foreign,
+        }
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, now: Time, id: LeaseId, borrower: Option<Borrower>, until: Time) {
+        self.leases.push(Lease {
+            id,
+            borrower,
+            granted: now,
+            until,
+            listed: now,
+            bound: None,
+        });
+    }
+
+    /// Returns the lease that answers `ask` of `vm`, if there is one already.
+    pub fn lease_for(&self, vm: &VmId, ask: AskId) -> Option<&Lease> {
+        self.leases.iter().find(|l| {
+            l.borrower
+                .as_ref()
+                .is_some_and(|b| b.vm == *vm && b.ask == ask)
+        })
+    }
+
+    /// Ends the lease `id` of `borrower`, this VM if `None`. Returns whether
+    /// there was one.
+    pub fn end(&mut self, id: LeaseId, borrower: Option<&VmId>) -> bool {
+        let before = self.leases.len();
+        self.leases
+            .retain(|l| l.id != id || l.borrower.as_ref().map(|b| &b.vm) != borrower);
+        self.leases.len() < before
+    }
+
+    /// Ends the leases that are over at `now`.
+    pub fn expire(&mut self, now: Time) {
+        self.leases.retain(|l| !l.is_over(now));
+    }
+
+    /// Takes in the list of all loans that `vm` holds up to `received`.
+    pub fn reconcile(&mut self, now: Time, vm: &VmId, received: LeaseId, loans: &[HeldLoan]) {
+        self.leases.retain_mut(|lease| {
+            if lease.borrower.as_ref().is_none_or(|b| b.vm != *vm) {
+                return true;
+            }
+            match loans.iter().find(|l| l.id == lease.id) {
+                Some(loan) => {
+                    lease.listed = now;
+                    lease.bound = loan.bound.map(|bound| now + bound);
+                    true
+                }
+                None => lease.id > received,
+            }
+        });
+    }
+
+    /// Tells whether a request might still start on a loan at `now`.
+    pub fn may_start(&self, now: Time) -> bool {
+        self.leases
+            .iter()
+            .any(|l| l.borrower.is_some() && l.until > now)
+    }
+
+    /// Returns the VMs that hold loans.
+    pub fn borrowers(&self) -> Vec<VmId> {
+        let mut vms: Vec<_> = self
+            .leases
+            .iter()
+            .filter_map(|l| l.borrower.as_ref().map(|b| b.vm.clone()))
+            .collect();
+        vms.sort();
+        vms.dedup();
+        vms
+    }
+
+    /// Returns the bounds of the runs that may outlast the ownership: the long
+    /// ones while it is held, all once it has ended.
+    pub fn run_bounds(&self, now: Time) -> RunBounds {
+        self.leases
+            .iter()
+            .filter(|l| !self.is_held || l.is_long(now))
+            .map(|l| l.last_end().since(now))
+            .collect()
+    }
+}
--- a/src/core/capacity/mod.rs
+++ b/src/core/capacity/mod.rs
@@ -1,14 +1,43 @@
 //! Who may send how much to which backend server.
+//!
+//! Each backend server is owned by one VM of its data centre, which grants the
+//! leases on its slots to itself and, as loans, to the other VMs.
+
+pub mod allowance;
+pub mod book;
+pub mod loans;
+pub mod message;
+mod owner;
+pub mod ownership;
+mod select;
+
+use std::collections::BTreeMap;
 
 use derive_more::Display;
-use hashbrown::HashMap;
 use serde::{
     Deserialize,
     Serialize, //
 };
 
+pub use self::message::CapacityMessage;
+use self::{
+    loans::{
+        LoanKey,
+        Loans, //
+    },
+    message::{
+        LeaseId,
+        Load, //
+    },
+    owner::Owner,
+    ownership::{
+        Round,
+        Vote, //
+    },
+};
 use crate::{
     core::{
+        counter::Counter,
         cx::Cx,
         names::{
             BackendId,
@@ -18,22 +47,41 @@
     },
     kernel::clock::{
         Millis,
+        Time,
         WallTime, //
     },
 };
 
-/// How long an acquired slot may be used.
-pub const SLOT_LEASE: Millis = Millis::from_secs(10);
+/// The largest difference between the wall clocks of two machines.
+pub const CLOCK_SKEW: Millis = Millis(500);
+
+/// The longest time that a request may run on a backend server.
+pub const RUN_LIMIT: Millis = Millis::from_secs(30);
+
+/// A request that has run for this long is announced to the other VMs, so that
+/// a new owner of its backend server leaves its slot alone.
+pub const LONG_RUN: Millis = Millis::from_secs(2);
+
+/// How many bits of an identifier count within one run of a process. The
+/// others are the run's incarnation.
+const RUN_BITS: u32 = 20;
 
 /// The right to run one request on a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Slot {
+    /// Identifies the slot within one run of the process.
+    pub id: SlotId,
     /// The backend server.
     pub backend: BackendId,
-    /// The backend server must have refused or ended the request by then.
+    /// The backend server must not start the request after this. A request
+    /// that it has started may go on for [`RUN_LIMIT`].
     pub until: WallTime,
 }
 
+/// Identifies an acquired slot within one run of the process.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct SlotId(pub u64);
+
 /// Why no slot could be acquired.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum NoSlot {
@@ -50,7 +98,7 @@
 }
 
 /// How an attempt ended, as far as the backend server's capacity is concerned.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum SlotResult {
     /// The request was answered.
     Answered,
@@ -65,7 +113,7 @@
 }
 
 /// What a finished attempt says about its backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct SlotReport {
     /// How the attempt ended.
     pub result: SlotResult,
@@ -75,17 +123,40 @@
     pub backend_run: Option<u64>,
 }
 
-/// A message about slots.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum CapacityMessage {
-    /// A placeholder that is never sent.
-    Nothing,
+/// Where an acquired slot came from.
+#[derive(Clone, Debug)]
+enum Source {
+    /// This VM owns the backend server.
+    Own(LeaseId),
+    /// Another VM has lent the slot.
+    Loan(LoanKey),
+}
+
+/// What is known of a backend server that another VM owns.
+#[derive(Clone, Debug)]
+struct Known {
+    owner: VmId,
+    load: Load,
+    at: Time,
+}
+
+/// The failed acquisitions of one service at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+struct Waiting {
+    at: Time,
+    count: u32,
 }
 
 /// The capacity state machine.
 #[derive(Debug, Default)]
 pub struct Capacity {
-    in_flight: HashMap<BackendId, u32>,
+    next_slot: u64,
+    owner: Owner,
+    loans: Loans,
+    known: BTreeMap<BackendId, Known>,
+    /// The slots in use.
+    used: BTreeMap<SlotId, Source>,
+    waiting: BTreeMap<ServiceId, Waiting>,
 }
 
 impl Capacity {
@@ -94,50 +165,135 @@
         Capacity::default()
     }
 
+    /// Returns the backend servers that this VM owns.
+    pub fn owned(&self) -> impl Iterator<Item = &BackendId> {
+        self.owner.held()
+    }
+
     /// Takes in a new configuration.
-    pub fn on_configuration(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn on_configuration(&mut self, cx: &mut Cx<'_>) {
+        self.owner.on_configuration(cx);
+        self.known.retain(|b, _| cx.cfg.backend(b).is_some());
+    }
 
     /// Takes in a change of the view.
-    pub fn on_view(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn on_view(&mut self, cx: &mut Cx<'_>) {
+        self.owner.tick(cx);
+    }
 
     /// Gives unused slots to the other VMs before this one stops.
-    pub fn stop(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn stop(&mut self, cx: &mut Cx<'_>) {
+        self.loans.return_idle(cx);
+        self.owner.stop(cx);
+    }
 
     /// Does what has become due.
-    pub fn tick(&mut self, _cx: &mut Cx<'_>) {}
+    pub fn tick(&mut self, cx: &mut Cx<'_>) {
+        self.owner.tick(cx);
+        for ask in self.loans.tick(cx) {
+            cx.count(Counter::SlotAskLost);
+            // A VM that does not answer has nothing to lend for a while.
+            self.learn(cx.now, &ask.owner, &ask.backend, Load::default());
+        }
+    }
 
     /// Takes in a message of another VM.
-    pub fn on_message(&mut self, _cx: &mut Cx<'_>, _from: &VmId, _msg: CapacityMessage) {}
-
-    /// Acquires a slot of a backend server of `service` that is not among
-    /// `tried`.
-    pub fn acquire(
-        &mut self,
-        cx: &mut Cx<'_>,
-        service: &ServiceId,
-        tried: &[BackendId],
-    ) -> Result<Slot, NoSlot> {
-        let usable = cx
-            .cfg
-            .backends_of(service)
-            .filter(|b| cx.cfg.new_work_share(b) > 0 && !tried.contains(&b.name));
-        let least = usable.min_by_key(|b| self.in_flight.get(&b.name).copied().unwrap_or(0));
-        let backend = least.ok_or(NoSlot::NoBackend)?;
-        let used = self.in_flight.entry(backend.name.clone()).or_default();
-        if *used >= backend.slots {
-            return Err(NoSlot::Busy);
+    pub fn on_message(&mut self, cx: &mut Cx<'_>, from: &VmId, msg: CapacityMessage) {
+        match msg {
+            CapacityMessage::Claims {
+                incarnation,
+                seq,
+                at,
+                claims,
+            } => {
+                let round = Round {
+                    incarnation,
+                    seq,
+                    at,
+                };
+                self.learn_claims(cx.now, from, &claims);
+                self.owner.on_claims(cx, from, round, claims);
+            }
+            CapacityMessage::Vote {
+                voter,
+                incarnation,
+                seq,
+                at,
+                abstains,
+                granted,
+            } => {
+                let round = Round {
+                    incarnation,
+                    seq,
+                    at,
+                };
+                let vote = Vote {
+                    round,
+                    abstains,
+                    granted,
+                };
+                self.owner.on_vote(cx, from, voter, vote);
+            }
+            CapacityMessage::Ask { ask, backend } => self.owner.on_ask(cx, from, ask, &backend),
+            CapacityMessage::Lend {
+                ask,
+                id,
+                span,
+                load,
+            } => {
+                if let Some(ask) = self.loans.on_lend(cx, from, id, ask, span) {
+                    self.learn(cx.now, from, &ask.backend, load);
+                }
+            }
+            CapacityMessage::Deny { ask, load } => {
+                if let Some(ask) = self.loans.on_deny(ask) {
+                    cx.count(Counter::SlotAskDenied);
+                    self.learn(cx.now, from, &ask.backend, load);
+                }
+            }
+            CapacityMessage::Return { id, reports } => {
+                self.owner.on_return(cx, from, id, &reports);
+            }
+            CapacityMessage::Holding { received, loans } => {
+                self.owner.on_holding(cx.now, from, received, &loans);
+            }
+            CapacityMessage::Recall { backend } => self.loans.on_recall(cx, from, &backend),
+        }
+    }
+
+    /// Gives a slot back. To be called once for each slot.
+    pub fn release(&mut self, cx: &mut Cx<'_>, slot: &Slot, report: SlotReport) {
+        match self.used.remove(&slot.id) {
+            Some(Source::Own(id)) => self.owner.end_own(cx, &slot.backend, id, report),
+            Some(Source::Loan(key)) => {
+                self.loans.finish(cx, &key, report);
+                if let Some(known) = self.known.get_mut(&slot.backend)
+                    && self.loans.get(&key).is_none()
+                {
+                    known.load.leased = known.load.leased.saturating_sub(1);
+                }
+            }
+            None => {}
         }
-        *used += 1;
-        Ok(Slot {
-            backend: backend.name.clone(),
-            until: cx.wall + SLOT_LEASE,
-        })
     }
 
-    /// Gives a slot back.
-    pub fn release(&mut self, _cx: &mut Cx<'_>, slot: &Slot, _report: SlotReport) {
-        if let Some(used) = self.in_flight.get_mut(&slot.backend) {
-            *used = used.saturating_sub(1);
+    fn learn_claims(&mut self, now: Time, from: &VmId, claims: &[message::Claim]) {
+        let held = |c: &&message::Claim| c.state == message::ClaimState::Held;
+        for claim in claims.iter().filter(held) {
+            let load = Load {
+                open: claim.open,
+                leased: claim.leased,
+            };
+            self.learn(now, from, &claim.backend, load);
         }
     }
+
+    fn learn(&mut self, now: Time, owner: &VmId, backend: &BackendId, load: Load) {
+        let known = Known {
+            owner: owner.clone(),
+            load,
+            at: now,
+        };
+        self.known.insert(backend.clone(), known);
+    }
 }
--- /dev/null
+++ b/src/core/capacity/select.rs
@@ -0,0 +1,262 @@
+//! Choosing the backend server of a request.
+
+use rand::Rng;
+use smallvec::SmallVec;
+
+use crate::{
+    core::{
+        capacity::{
+            CLOCK_SKEW,
+            Capacity,
+            NoSlot,
+            Slot,
+            SlotId,
+            Source,
+            loans::LoanKey,
+            message::Load,
+            ownership::preferred_owner, //
+        },
+        configuration::Backend,
+        counter::Counter,
+        cx::Cx,
+        names::{
+            BackendId,
+            ServiceId,
+            VmId, //
+        },
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+
+/// Knowledge of another VM's load that is older than this is refreshed before
+/// a request is refused.
+const KNOWLEDGE_AGE: Millis = Millis(300);
+
+/// How much fuller, as a fraction of its slots, an own backend server may be
+/// than another VM's and still be used without asking.
+const OWN_TOLERANCE: f64 = 0.1;
+
+/// The backend servers that a request may use.
+type Eligible<'a> = SmallVec<[&'a Backend; 16]>;
+
+/// Where a slot could come from.
+#[derive(Clone, Debug)]
+enum Origin {
+    Own,
+    Remote(VmId),
+}
+
+#[derive(Clone, Debug)]
+struct Candidate<'a> {
+    backend: &'a Backend,
+    from: Origin,
+    fullness: f64,
+}
+
+impl Capacity {
+    /// Acquires a slot of a backend server of `service` that is not among
+    /// `tried`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no slot is at hand; [`NoSlot::Asked`] tells that one has been
+    /// asked for.
+    pub fn acquire(
+        &mut self,
+        cx: &mut Cx<'_>,
+        service: &ServiceId,
+        tried: &[BackendId],
+    ) -> Result<Slot, NoSlot> {
+        let cfg = cx.cfg;
+        let eligible: Eligible<'_> = cfg
+            .backends_of(service)
+            .filter(|b| cfg.new_work_share(b) > 0 && !tried.contains(&b.name))
+            .collect();
+        if eligible.is_empty() {
+            cx.count(Counter::SlotRefusedNoBackend);
+            return Err(NoSlot::NoBackend);
+        }
+        if let Some(key) = self.best_loan(cx, &eligible) {
+            return Ok(self.use_loan(cx, key));
+        }
+        let best = self.best_candidate(cx, &eligible);
+        if let Some(Candidate {
+            backend,
+            from: Origin::Own,
+            ..
+        }) = best
+            && let Some(slot) = self.use_own(cx, backend)
+        {
+            return Ok(slot);
+        }
+        self.ask_for_slot(cx, service, &eligible, best)
+    }
+
+    fn best_loan(&self, cx: &mut Cx<'_>, eligible: &Eligible<'_>) -> Option<LoanKey> {
+        let mut best: Option<(f64, LoanKey)> = None;
+        for (key, loan) in self.loans.usable(cx.now) {
+            let Some(backend) = eligible.iter().find(|b| b.name == loan.backend) else {
+                continue;
+            };
+            let load = self.known.get(&loan.backend).map(|k| k.load);
+            let fullness = fullness(load.unwrap_or_default(), backend);
+            if best.as_ref().is_none_or(|(least, _)| fullness < *least) {
+                best = Some((fullness, key.clone()));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Returns the least full backend server with a free slot; of equal ones a
+    /// random one.
+    fn best_candidate<'a>(
+        &self,
+        cx: &mut Cx<'_>,
+        eligible: &Eligible<'a>,
+    ) -> Option<Candidate<'a>> {
+        let mut best: Option<Candidate<'a>> = None;
+        let mut equals = 0;
+        for backend in eligible {
+            let Some(candidate) = self.candidate(cx, backend) else {
+                continue;
+            };
+            let least = best.as_ref().map_or(f64::INFINITY, |b| b.fullness);
+            if candidate.fullness > least {
+                continue;
+            }
+            equals = if candidate.fullness < least {
+                1
+            } else {
+                equals + 1
+            };
+            if cx.rng.random_range(0..equals) == 0 {
+                best = Some(candidate);
+            }
+        }
+        best
+    }
+
+    fn candidate<'a>(&self, cx: &Cx<'_>, backend: &'a Backend) -> Option<Candidate<'a>> {
+        let own = self.owner.load(cx, &backend.name);
+        if own.leased < own.open {
+            return Some(Candidate {
+                backend,
+                from: Origin::Own,
+                fullness: fullness(own, backend) - OWN_TOLERANCE,
+            });
+        }
+        let known = self.known.get(&backend.name)?;
+        let mut load = known.load;
+        load.leased += self.loans.pending_at(&backend.name);
+        (known.owner != cx.view.me.id && load.leased < load.open).then(|| Candidate {
+            backend,
+            from: Origin::Remote(known.owner.clone()),
+            fullness: fullness(load, backend),
+        })
+    }
+
+    fn use_loan(&mut self, cx: &Cx<'_>, key: LoanKey) -> Slot {
+        self.loans.start(cx.now, &key);
+        let loan = self.loans.get(&key);
+        let (backend, until) = match loan {
+            Some(loan) => (loan.backend.clone(), loan.until),
+            None => (BackendId::new(""), cx.now),
+        };
+        self.slot(cx, &backend, until, Source::Loan(key))
+    }
+
+    fn use_own(&mut self, cx: &Cx<'_>, backend: &Backend) -> Option<Slot> {
+        let (id, until) = self.owner.grant_own(cx, &backend.name)?;
+        Some(self.slot(cx, &backend.name, until, Source::Own(id)))
+    }
+
+    fn slot(&mut self, cx: &Cx<'_>, backend: &BackendId, until: Time, source: Source) -> Slot {
+        self.next_slot += 1;
+        let id = SlotId(self.next_slot);
+        self.used.insert(id, source);
+        Slot {
+            id,
+            backend: backend.clone(),
+            until: cx.wall + until.since(cx.now) - CLOCK_SKEW,
+        }
+    }
+
+    fn ask_for_slot(
+        &mut self,
+        cx: &mut Cx<'_>,
+        service: &ServiceId,
+        eligible: &Eligible<'_>,
+        best: Option<Candidate<'_>>,
+    ) -> Result<Slot, NoSlot> {
+        let pending = self.loans.pending(service);
+        if self.count_waiting(cx.now, service) <= pending {
+            return Err(NoSlot::Asked);
+        }
+        let target = match best {
+            Some(Candidate {
+                backend,
+                from: Origin::Remote(owner),
+                ..
+            }) => Some((&backend.name, owner)),
+            _ => self.stalest(cx, eligible),
+        };
+        if let Some((backend, owner)) = target {
+            cx.count(Counter::SlotAsked);
+            self.loans.ask(cx, service, backend, &owner);
+            return Err(NoSlot::Asked);
+        }
+        if pending > 0 {
+            return Err(NoSlot::Asked);
+        }
+        cx.count(Counter::SlotRefusedBusy);
+        Err(NoSlot::Busy)
+    }
+
+    /// Returns the backend server of another VM whose load was learnt longest
+    /// ago, if that is worth refreshing.
+    fn stalest<'a>(&self, cx: &Cx<'_>, eligible: &Eligible<'a>) -> Option<(&'a BackendId, VmId)> {
+        let mut stalest: Option<(Time, &BackendId, VmId)> = None;
+        for backend in eligible {
+            let Some((at, owner)) = self.owner_of(cx, backend) else {
+                continue;
+            };
+            let is_fresh = cx.now.since(at) < KNOWLEDGE_AGE;
+            let is_asked = self.loans.pending_at(&backend.name) > 0;
+            if owner == cx.view.me.id || is_fresh || is_asked {
+                continue;
+            }
+            if stalest.as_ref().is_none_or(|(oldest, _, _)| at < *oldest) {
+                stalest = Some((at, &backend.name, owner));
+            }
+        }
+        stalest.map(|(_, backend, owner)| (backend, owner))
+    }
+
+    fn owner_of(&self, cx: &Cx<'_>, backend: &Backend) -> Option<(Time, VmId)> {
+        if let Some(known) = self.known.get(&backend.name)
+            && cx.view.member(&known.owner).is_some()
+        {
+            return Some((known.at, known.owner.clone()));
+        }
+        let owner = preferred_owner(cx.view, &backend.data_centre, &backend.name)?;
+        Some((Time(0), owner.clone()))
+    }
+
+    /// Counts a failed acquisition. Returns how many there were at this moment.
+    fn count_waiting(&mut self, now: Time, service: &ServiceId) -> u32 {
+        let waiting = self.waiting.entry(service.clone()).or_default();
+        if waiting.at != now {
+            waiting.at = now;
+            waiting.count = 0;
+        }
+        waiting.count += 1;
+        waiting.count
+    }
+}
+
+fn fullness(load: Load, backend: &Backend) -> f64 {
+    f64::from(load.leased) / f64::from(backend.slots.max(1))
+}
--- a/src/core/counter.rs
+++ b/src/core/counter.rs
@@ -41,6 +41,19 @@
     RequestRefusedStopping, "requests_refused_stopping", "Requests refused because the VM is stopping.";
     RequestUnknown, "requests_outcome_unknown", "Requests whose outcome could not be learnt.";
     // Capacity.
+    SlotAsked, "slots_asked", "Slots asked of other VMs.";
+    SlotAskDenied, "slot_asks_denied", "Asks for a slot that the owner denied.";
+    SlotAskLost, "slot_asks_lost", "Asks for a slot that got no answer.";
+    SlotRefusedBusy, "slots_refused_busy", "Acquisitions refused because every slot was busy.";
+    SlotRefusedNoBackend, "slots_refused_no_backend", "Acquisitions refused because no backend server takes new work.";
+    AllowanceFellShed, "allowances_fell_shed", "Backend servers taken for cold because they shed a request.";
+    AllowanceFellLost, "allowances_fell_lost", "Backend servers taken for cold because an answer did not come.";
+    AllowanceFellUnreachable, "allowances_fell_unreachable", "Backend servers taken for cold because they could not be reached.";
+    AllowanceFellSlow, "allowances_fell_slow", "Backend servers taken for cold because answers became slow.";
+    AllowanceFellRestarted, "allowances_fell_restarted", "Backend servers taken for cold because an answer named a new run.";
+    OwnershipGained, "ownerships_gained", "Backend servers whose slots this VM began to hand out.";
+    OwnershipLapsed, "ownerships_lapsed", "Backend servers lost because promises were not renewed in time.";
+    OwnershipReleased, "ownerships_released", "Backend servers handed to another VM.";
     // Intents and configuration.
     // Peers.
     PeerMalformed, "peer_messages_malformed", "Messages of peers dropped because they could not be decoded.";
--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -59,4 +59,8 @@
     // 4000: flows.
     // 5000: requests.
     // 6000: capacity.
+    6001 BackendFell Warn "A backend server is taken for cold.";
+    6002 OwnershipGained Info "This VM hands out the slots of a backend server.";
+    6003 OwnershipReleased Info "This VM has handed a backend server over.";
+    6004 OwnershipLapsed Warn "This VM lost a backend server because promises were not renewed.";
 }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -6,11 +6,13 @@
 //! all random numbers come from one seed.
 
 pub mod backend;
+pub mod cold;
 pub mod fleet;
 pub mod links;
 pub mod packet;
 pub mod platform;
 pub mod sample;
+pub mod slots;
 
 pub use backend::FakeBackend;
 pub use fleet::Fleet;
