Let asks wait at the owner for a free slot

Cause: an owner without a free slot denied at once, and knowledge of the other owners is up to 500 ms old, so a VM refused requests while slots were free elsewhere. Asks now wait at the owner for up to 120 ms, the owner recalls idle loans when they do, and a VM lets at most 16 requests of a service wait.

The utilisation is the mean over the second before the refusal of the requests that run at the backend servers.

--- a/src/core/capacity/book.rs
+++ b/src/core/capacity/book.rs
@@ -1,5 +1,7 @@
 //! The leases on the slots of one backend server, kept by its owner.
 
+use std::collections::VecDeque;
+
 use crate::{
     core::{
         capacity::{
@@ -28,6 +30,16 @@
 /// possible start is free again.
 const UNHEARD_LOAN: Millis = Millis::from_secs(3);
 
+/// How long an ask waits for a slot before the borrower repeats it.
+const QUEUE_TIME: Millis = Millis(120);
+
+/// An ask that waits for a slot.
+#[derive(Clone, Debug)]
+struct Queued {
+    borrower: Borrower,
+    since: Time,
+}
+
 /// Who uses a slot on loan.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Borrower {
@@ -48,6 +60,8 @@
     pub granted: Time,
     /// No request starts on the slot after this.
     pub until: Time,
+    /// Whether the borrower was told to start nothing more.
+    is_recalled: bool,
     /// When the borrower last listed the loan.
     listed: Time,
     /// When a run that the borrower announced as long must have ended.
@@ -92,6 +106,8 @@
     /// Whether this VM is about to give the backend server up.
     pub is_releasing: bool,
     leases: Vec<Lease>,
+    /// Invariant: no longer than the allowance when an ask was added.
+    queue: VecDeque<Queued>,
 }
 
 impl Book {
@@ -103,6 +119,7 @@
             last_held: None,
             is_releasing: false,
             leases: Vec::new(),
+            queue: VecDeque::new(),
         }
     }
 
@@ -137,18 +154,56 @@
             borrower,
             granted: now,
             until,
+            is_recalled: false,
             listed: now,
             bound: None,
         });
     }
 
-    /// Returns the lease that answers `ask` of `vm`, if there is one already.
-    pub fn lease_for(&self, vm: &VmId, ask: AskId) -> Option<&Lease> {
-        self.leases.iter().find(|l| {
-            l.borrower
-                .as_ref()
-                .is_some_and(|b| b.vm == *vm && b.ask == ask)
-        })
+    /// Lets an ask wait for a slot. Returns whether there was room for it.
+    pub fn enqueue(&mut self, now: Time, borrower: Borrower) -> bool {
+        if let Some(queued) = self.queue.iter_mut().find(|q| q.borrower == borrower) {
+            queued.since = now;
+            return true;
+        }
+        let is_full = self.queue.len() as u32 >= self.allowance.known();
+        if !is_full {
+            self.queue.push_back(Queued {
+                borrower,
+                since: now,
+            });
+        }
+        !is_full
+    }
+
+    /// Returns the ask that has waited longest and takes it off the queue.
+    pub fn dequeue(&mut self) -> Option<Borrower> {
+        self.queue.pop_front().map(|q| q.borrower)
+    }
+
+    /// Tells whether asks wait for a slot.
+    pub fn has_queue(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// Returns the VMs whose loans have not been recalled yet, and notes that
+    /// they are.
+    pub fn recall(&mut self) -> Vec<VmId> {
+        let mut vms = Vec::new();
+        for lease in self.leases.iter_mut().filter(|l| !l.is_recalled) {
+            lease.is_recalled = true;
+            vms.extend(lease.borrower.as_ref().map(|b| b.vm.clone()));
+        }
+        vms.sort();
+        vms.dedup();
+        vms
+    }
+
+    /// Returns the lease that `borrower` was granted, if there is one already.
+    pub fn lease_for(&self, borrower: &Borrower) -> Option<&Lease> {
+        self.leases
+            .iter()
+            .find(|l| l.borrower.as_ref() == Some(borrower))
     }
 
     /// Ends the lease `id` of `borrower`, this VM if `None`. Returns whether
@@ -160,9 +215,10 @@
         self.leases.len() < before
     }
 
-    /// Ends the leases that are over at `now`.
+    /// Ends the leases and forgets the asks that are over at `now`.
     pub fn expire(&mut self, now: Time) {
         self.leases.retain(|l| !l.is_over(now));
+        self.queue.retain(|q| now.since(q.since) < QUEUE_TIME);
     }
 
     /// Takes in the list of all loans that `vm` holds up to `received`.
@@ -189,18 +245,6 @@
             .any(|l| l.borrower.is_some() && l.until > now)
     }
 
-    /// Returns the VMs that hold loans.
-    pub fn borrowers(&self) -> Vec<VmId> {
-        let mut vms: Vec<_> = self
-            .leases
-            .iter()
-            .filter_map(|l| l.borrower.as_ref().map(|b| b.vm.clone()))
-            .collect();
-        vms.sort();
-        vms.dedup();
-        vms
-    }
-
     /// Returns the bounds of the runs that may outlast the ownership: the long
     /// ones while it is held, all once it has ended.
     pub fn run_bounds(&self, now: Time) -> RunBounds {
--- a/src/core/capacity/mod.rs
+++ b/src/core/capacity/mod.rs
@@ -62,6 +62,9 @@
 /// a new owner of its backend server leaves its slot alone.
 pub const LONG_RUN: Millis = Millis::from_secs(2);
 
+/// How long an owner that had no room for an ask is not asked again.
+const DENIAL_TIME: Millis = Millis(100);
+
 /// How many bits of an identifier count within one run of a process. The
 /// others are the run's incarnation.
 const RUN_BITS: u32 = 20;
@@ -138,13 +141,14 @@
     owner: VmId,
     load: Load,
     at: Time,
+    /// When the owner last had no room for an ask.
+    denied: Option<Time>,
 }
 
-/// The failed acquisitions of one service at one moment.
-#[derive(Clone, Copy, Debug, Default)]
-struct Waiting {
-    at: Time,
-    count: u32,
+impl Known {
+    fn is_denied(&self, now: Time) -> bool {
+        self.denied.is_some_and(|at| now.since(at) < DENIAL_TIME)
+    }
 }
 
 /// The capacity state machine.
@@ -156,7 +160,9 @@
     known: BTreeMap<BackendId, Known>,
     /// The slots in use.
     used: BTreeMap<SlotId, Source>,
-    waiting: BTreeMap<ServiceId, Waiting>,
+    /// The failed acquisitions since the last event after which all waiting
+    /// requests try again.
+    waiting: BTreeMap<ServiceId, u32>,
 }
 
 impl Capacity {
@@ -189,16 +195,17 @@
 
     /// Does what has become due.
     pub fn tick(&mut self, cx: &mut Cx<'_>) {
+        self.waiting.clear();
         self.owner.tick(cx);
         for ask in self.loans.tick(cx) {
             cx.count(Counter::SlotAskLost);
-            // A VM that does not answer has nothing to lend for a while.
-            self.learn(cx.now, &ask.owner, &ask.backend, Load::default());
+            self.note_denial(cx.now, &ask.backend);
         }
     }
 
     /// Takes in a message of another VM.
     pub fn on_message(&mut self, cx: &mut Cx<'_>, from: &VmId, msg: CapacityMessage) {
+        self.waiting.clear();
         match msg {
             CapacityMessage::Claims {
                 incarnation,
@@ -249,6 +256,7 @@
                 if let Some(ask) = self.loans.on_deny(ask) {
                     cx.count(Counter::SlotAskDenied);
                     self.learn(cx.now, from, &ask.backend, load);
+                    self.note_denial(cx.now, &ask.backend);
                 }
             }
             CapacityMessage::Return { id, reports } => {
@@ -263,6 +271,7 @@
 
     /// Gives a slot back. To be called once for each slot.
     pub fn release(&mut self, cx: &mut Cx<'_>, slot: &Slot, report: SlotReport) {
+        self.waiting.clear();
         match self.used.remove(&slot.id) {
             Some(Source::Own(id)) => self.owner.end_own(cx, &slot.backend, id, report),
             Some(Source::Loan(key)) => {
@@ -293,7 +302,14 @@
             owner: owner.clone(),
             load,
             at: now,
+            denied: self.known.get(backend).and_then(|k| k.denied),
         };
         self.known.insert(backend.clone(), known);
     }
+
+    fn note_denial(&mut self, now: Time, backend: &BackendId) {
+        if let Some(known) = self.known.get_mut(backend) {
+            known.denied = Some(now);
+        }
+    }
 }
--- a/src/core/capacity/owner.rs
+++ b/src/core/capacity/owner.rs
@@ -108,6 +108,7 @@
             book.expire(cx.now);
         }
         self.follow_leases(cx);
+        self.serve_queues(cx);
         if !self.ownership.is_round_due(cx.now) {
             return;
         }
@@ -130,18 +131,23 @@
 
     /// Takes in that another VM asks for a slot.
     pub fn on_ask(&mut self, cx: &mut Cx<'_>, from: &VmId, ask: AskId, backend: &BackendId) {
-        let lent = self.lend(cx, from, ask, backend);
-        let load = self.load(cx, backend);
-        let msg = match lent {
-            Some((id, span)) => CapacityMessage::Lend {
-                ask,
-                id,
-                span,
-                load,
-            },
-            None => CapacityMessage::Deny { ask, load },
+        let borrower = Borrower {
+            vm: from.clone(),
+            ask,
         };
-        cx.send(from, msg);
+        if self.lend(cx, &borrower, backend) {
+            return;
+        }
+        let load = self.load(cx, backend);
+        let book = self.books.get_mut(backend).filter(|_| load.open > 0);
+        if let Some(book) = book
+            && book.enqueue(cx.now, borrower)
+        {
+            // Idle loans come back at once, the others after their request.
+            recall(cx, backend, book);
+            return;
+        }
+        cx.send(from, CapacityMessage::Deny { ask, load });
     }
 
     /// Takes in that a loan has been returned.
@@ -158,6 +164,7 @@
         for report in reports {
             self.report(cx, &backend, report);
         }
+        self.serve_queue(cx, &backend);
     }
 
     /// Takes in the list of all loans that another VM holds.
@@ -204,16 +211,31 @@
             book.end(id, None);
         }
         self.report(cx, backend, &report);
+        self.serve_queue(cx, backend);
+    }
+
+    /// Lends `borrower` a slot of `backend`. Returns whether one was free.
+    fn lend(&mut self, cx: &mut Cx<'_>, borrower: &Borrower, backend: &BackendId) -> bool {
+        let Some((id, span)) = self.grant_loan(cx, borrower, backend) else {
+            return false;
+        };
+        let msg = CapacityMessage::Lend {
+            ask: borrower.ask,
+            id,
+            span,
+            load: self.load(cx, backend),
+        };
+        cx.send(&borrower.vm, msg);
+        true
     }
 
-    fn lend(
+    fn grant_loan(
         &mut self,
         cx: &Cx<'_>,
-        to: &VmId,
-        ask: AskId,
+        borrower: &Borrower,
         backend: &BackendId,
     ) -> Option<(LeaseId, Millis)> {
-        if let Some(lease) = self.books.get(backend)?.lease_for(to, ask) {
+        if let Some(lease) = self.books.get(backend)?.lease_for(borrower) {
             return Some((lease.id, lease.until.since(lease.granted)));
         }
         let load = self.load(cx, backend);
@@ -224,15 +246,33 @@
             return None;
         }
         let id = self.next_lease_id(cx);
-        let borrower = Borrower {
-            vm: to.clone(),
-            ask,
-        };
         let book = self.books.get_mut(backend)?;
-        book.grant(cx.now, id, Some(borrower), until);
+        book.grant(cx.now, id, Some(borrower.clone()), until);
         Some((id, span))
     }
 
+    /// Lends free slots to the asks that wait for them.
+    fn serve_queues(&mut self, cx: &mut Cx<'_>) {
+        let waited_for = self.books.iter().filter(|(_, b)| b.has_queue());
+        let waited_for: Vec<_> = waited_for.map(|(id, _)| id.clone()).collect();
+        for backend in waited_for {
+            self.serve_queue(cx, &backend);
+        }
+    }
+
+    fn serve_queue(&mut self, cx: &mut Cx<'_>, backend: &BackendId) {
+        loop {
+            let load = self.load(cx, backend);
+            if load.leased >= load.open {
+                return;
+            }
+            let Some(borrower) = self.books.get_mut(backend).and_then(Book::dequeue) else {
+                return;
+            };
+            self.lend(cx, &borrower, backend);
+        }
+    }
+
     fn next_lease_id(&mut self, cx: &Cx<'_>) -> LeaseId {
         let first = cx.view.me.incarnation.0 << RUN_BITS;
         self.next_lease = self.next_lease.max(first) + 1;
@@ -394,8 +434,8 @@
     (backend.slots * share).div_ceil(100)
 }
 
-fn recall(cx: &mut Cx<'_>, backend: &BackendId, book: &Book) {
-    for vm in book.borrowers() {
+fn recall(cx: &mut Cx<'_>, backend: &BackendId, book: &mut Book) {
+    for vm in book.recall() {
         let backend = backend.clone();
         cx.send(&vm, CapacityMessage::Recall { backend });
     }
--- a/src/core/capacity/select.rs
+++ b/src/core/capacity/select.rs
@@ -8,6 +8,7 @@
         capacity::{
             CLOCK_SKEW,
             Capacity,
+            Known,
             NoSlot,
             Slot,
             SlotId,
@@ -35,6 +36,9 @@
 /// a request is refused.
 const KNOWLEDGE_AGE: Millis = Millis(300);
 
+/// How many requests of one service may wait for a slot.
+const MAX_WAITING: u32 = 16;
+
 /// How much fuller, as a fraction of its slots, an own backend server may be
 /// than another VM's and still be used without asking.
 const OWN_TOLERANCE: f64 = 0.1;
@@ -191,8 +195,13 @@
         eligible: &Eligible<'_>,
         best: Option<Candidate<'_>>,
     ) -> Result<Slot, NoSlot> {
+        let waiting = self.count_waiting(service);
+        if waiting > MAX_WAITING {
+            cx.count(Counter::SlotRefusedBusy);
+            return Err(NoSlot::Busy);
+        }
         let pending = self.loans.pending(service);
-        if self.count_waiting(cx.now, service) <= pending {
+        if waiting <= pending {
             return Err(NoSlot::Asked);
         }
         let target = match best {
@@ -201,7 +210,9 @@
                 from: Origin::Remote(owner),
                 ..
             }) => Some((&backend.name, owner)),
-            _ => self.stalest(cx, eligible),
+            _ => self
+                .stalest(cx, eligible)
+                .or_else(|| self.shortest_queue(cx, eligible)),
         };
         if let Some((backend, owner)) = target {
             cx.count(Counter::SlotAsked);
@@ -235,6 +246,31 @@
         stalest.map(|(_, backend, owner)| (backend, owner))
     }
 
+    /// Returns the backend server of another VM at which fewest requests wait
+    /// for a slot, unless all have been refused lately.
+    fn shortest_queue<'a>(
+        &self,
+        cx: &mut Cx<'_>,
+        eligible: &Eligible<'a>,
+    ) -> Option<(&'a BackendId, VmId)> {
+        let mut shortest: Option<(u32, u32, &Known, &'a BackendId)> = None;
+        for backend in eligible {
+            let Some(known) = self.known.get(&backend.name) else {
+                continue;
+            };
+            let is_own = known.owner == cx.view.me.id;
+            if is_own || known.load.open == 0 || known.is_denied(cx.now) {
+                continue;
+            }
+            let pending = self.loans.pending_at(&backend.name);
+            let key = (pending, cx.rng.random::<u32>());
+            if shortest.is_none_or(|(p, tie, ..)| key < (p, tie)) {
+                shortest = Some((key.0, key.1, known, &backend.name));
+            }
+        }
+        shortest.map(|(_, _, known, backend)| (backend, known.owner.clone()))
+    }
+
     fn owner_of(&self, cx: &Cx<'_>, backend: &Backend) -> Option<(Time, VmId)> {
         if let Some(known) = self.known.get(&backend.name)
             && cx.view.member(&known.owner).is_some()
@@ -245,15 +281,11 @@
         Some((Time(0), owner.clone()))
     }
 
-    /// Counts a failed acquisition. Returns how many there were at this moment.
-    fn count_waiting(&mut self, now: Time, service: &ServiceId) -> u32 {
+    /// Counts a failed acquisition. Returns how many requests wait for a slot.
+    fn count_waiting(&mut self, service: &ServiceId) -> u32 {
         let waiting = self.waiting.entry(service.clone()).or_default();
-        if waiting.at != now {
-            waiting.at = now;
-            waiting.count = 0;
-        }
-        waiting.count += 1;
-        waiting.count
+        *waiting += 1;
+        *waiting
     }
 }
 
--- a/testkit/src/slots.rs
+++ b/testkit/src/slots.rs
@@ -8,7 +8,8 @@
     cmp::Reverse,
     collections::{
         BTreeMap,
-        BinaryHeap, //
+        BinaryHeap,
+        VecDeque, //
     },
     net::SocketAddr,
     sync::Arc,
@@ -159,13 +160,23 @@
     }
 }
 
+/// A request that was refused.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusal {
+    /// When.
+    pub at: Time,
+    /// How many requests of the service ran at once, on average over the last
+    /// second before.
+    pub in_flight: f64,
+}
+
 /// What became of the requests.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
     /// Requests that were answered.
     pub answered: u64,
-    /// Requests that were refused, with the moments and how many ran then.
-    pub refused: Vec<(Time, u32)>,
+    /// Requests that were refused.
+    pub refused: Vec<Refusal>,
     /// Attempts that a backend server shed.
     pub shed: u64,
     /// Attempts that came after their deadline.
@@ -199,6 +210,13 @@
     order: u64,
     next_tick: Time,
     next_attempt: u64,
+    busy_log: VecDeque<Busy>,
+}
+
+/// How long requests have run in all, at one moment.
+struct Busy {
+    at: Time,
+    millis: BTreeMap<ServiceId, u64>,
 }
 
 impl SlotFleet {
@@ -219,6 +237,7 @@
             order: 0,
             next_tick: Time(0),
             next_attempt: 0,
+            busy_log: VecDeque::new(),
         };
         for backend in &cfg.backends {
             let cold = ColdBackend::warm(backend.slots);
@@ -392,22 +411,52 @@
         self.now = self.now.max(end);
     }
 
-    /// Returns how many requests run now on the backend servers of `service`.
-    pub fn in_flight(&mut self, service: &ServiceId) -> u32 {
+    /// Returns how many requests ran at once on the backend servers of
+    /// `service`, on average over the last second.
+    pub fn recent_in_flight(&mut self, service: &ServiceId) -> f64 {
+        let busy = self.busy_millis(service);
+        let Some((at, before)) = self
+            .busy_log
+            .front()
+            .and_then(|b| Some((b.at, *b.millis.get(service)?)))
+        else {
+            return 0.0;
+        };
+        (busy - before) as f64 / self.now.since(at).0.max(1) as f64
+    }
+
+    fn busy_millis(&mut self, service: &ServiceId) -> u64 {
         let now = self.now;
-        let names: Vec<_> = self
-            .cfg
-            .backends_of(service)
-            .map(|b| b.name.clone())
-            .collect();
-        let mut running = 0;
-        for name in names {
-            if let Some(backend) = self.backends.get_mut(&name) {
-                backend.pass_time(now);
-                running += backend.running.len() as u32;
+        let mut millis = 0;
+        for backend in self.cfg.backends_of(service) {
+            if let Some(cold) = self.backends.get_mut(&backend.name) {
+                cold.pass_time(now);
+                millis += cold.busy_millis;
             }
         }
-        running
+        millis
+    }
+
+    fn log_busy(&mut self) {
+        const WINDOW: Millis = Millis::from_secs(1);
+        let services: Vec<_> = self.cfg.services.iter().map(|s| s.name.clone()).collect();
+        let busy = |name: ServiceId| {
+            let millis = self.busy_millis(&name);
+            (name, millis)
+        };
+        let millis = services.into_iter().map(busy).collect();
+        self.busy_log.push_back(Busy {
+            at: self.now,
+            millis,
+        });
+        let now = self.now;
+        while self
+            .busy_log
+            .front()
+            .is_some_and(|b| now.since(b.at) > WINDOW)
+        {
+            self.busy_log.pop_front();
+        }
     }
 
     /// Starts a new measurement of [`SlotFleet::imbalance`].
@@ -417,6 +466,7 @@
             backend.pass_time(now);
             backend.busy_millis = 0;
         }
+        self.busy_log.clear();
     }
 
     /// Returns the largest over the mean of the requests in flight per backend
@@ -453,10 +503,7 @@
             });
             self.retry_waiting(at);
         }
-        let now = self.now;
-        for backend in self.backends.values_mut() {
-            backend.pass_time(now);
-        }
+        self.log_busy();
     }
 
     fn thaw(&mut self, at: usize) {
@@ -567,8 +614,11 @@
     }
 
     fn refuse(&mut self, request: &Request) {
-        let in_flight = self.in_flight(&request.service.clone());
-        self.tally.refused.push((self.now, in_flight));
+        let in_flight = self.recent_in_flight(&request.service);
+        self.tally.refused.push(Refusal {
+            at: self.now,
+            in_flight,
+        });
     }
 
     fn acquire(&mut self, at: usize, request: &Request) -> Result<Slot, NoSlot> {
--- a/tests/capacity_slots.rs
+++ b/tests/capacity_slots.rs
@@ -97,3 +97,30 @@
         }
     }
 }
+#[test]
+fn slots_are_used_before_the_first_refusal() {
+    for case in cases() {
+        for seed in 1..=3 {
+            let mut fleet = warm_fleet(&case, Policy::Leases, seed);
+            let mut concurrency = case.slots * 0.75;
+            while fleet.tally.refused.is_empty() {
+                concurrency *= 1.02;
+                fleet.load(
+                    &case.service,
+                    concurrency,
+                    SERVICE_TIME,
+                    Millis::from_secs(1),
+                );
+            }
+            let refusal = fleet.tally.refused[0];
+            let utilisation = refusal.in_flight / case.slots;
+            println!(
+                "{} seed {seed}: first refusal at {} with {:.1}% of the slots in use",
+                case.service,
+                refusal.at,
+                utilisation * 100.0,
+            );
+            assert!(utilisation >= 0.9, "utilisation {utilisation}");
+        }
+    }
+}
