--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod cold;
 pub mod fleet;
 pub mod flow_load;
 pub mod history;
@@ -15,6 +16,7 @@
 pub mod platform;
 pub mod process;
 pub mod sample;
+pub mod slots;
 
 pub use backend::FakeBackend;
 pub use fleet::Fleet;
