Prove configuration under faults and racing operators

Cause: nothing showed that an accepted configuration spreads and stays when the platform, the links and the VMs fail.

The checker catches a writer without a precondition, a plan that takes effect twice, and a false refusal.

--- a/src/core/intent/confirming.rs
+++ b/src/core/intent/confirming.rs
@@ -37,6 +37,9 @@
     notice::Notice,
 };
 
+/// How often a plan that is not found is looked up again.
+const ABSENT_READS: u8 = 3;
+
 /// Where a confirmation stands.
 #[derive(Clone, Debug)]
 enum Stage {
@@ -55,6 +58,8 @@
     stage: Stage,
     /// Whether a write was sent that may have taken effect.
     has_written: bool,
+    /// How often the plan was not found.
+    absent: u8,
 }
 
 impl Confirming {
@@ -65,6 +70,7 @@
             id,
             stage: Stage::ReadingPlan,
             has_written: false,
+            absent: 0,
         };
         (confirming, PlatformOp::Get { key })
     }
@@ -103,6 +109,13 @@
                 Ok(plan) => self.read_record(Box::new(plan)),
                 Err(e) => Next::Reply(unknown_plan(cx, &format!("it cannot be read: {e}"))),
             },
+            PlatformOutcome::Absent if self.absent < ABSENT_READS => {
+                // A read that is out of date shows no plan that is new.
+                self.absent += 1;
+                cx.count(Counter::PlanRetryStale);
+                let key = plan_key(&self.id);
+                Next::AskLater(PlatformOp::Get { key })
+            }
             PlatformOutcome::Absent => {
                 Next::Reply(unknown_plan(cx, "no plan with this name is stored"))
             }
--- a/src/core/intent/platform.rs
+++ b/src/core/intent/platform.rs
@@ -10,6 +10,12 @@
 /// The platform object that holds the configuration in force.
 pub const CONFIGURATION_KEY: &str = "configurations/current";
 
+/// How long the edge waits for an answer, on top of a watch's own time.
+///
+/// The state machines have shorter timeouts of their own. They still use an
+/// answer that comes later, so a slow platform is heard in the end.
+pub const ANSWER_TIMEOUT: Millis = Millis::from_secs(45);
+
 /// The largest value that the platform stores, in bytes.
 pub const MAX_OBJECT: usize = 1 << 20;
 
--- a/src/edge/platform.rs
+++ b/src/edge/platform.rs
@@ -29,10 +29,11 @@
     core::{
         engine::Event,
         intent::{
-            PlatformOp,
-            PlatformOutcome,
-            StoredObject,
-            platform::MAX_OBJECT, //
+            PlatformOp, PlatformOutcome, StoredObject,
+            platform::{
+                ANSWER_TIMEOUT,
+                MAX_OBJECT, //
+            },
         },
     },
     edge::mailbox::{
@@ -47,12 +48,6 @@
     },
 };
 
-/// How long to wait for an answer, on top of a watch's own time.
-///
-/// The core has shorter timeouts of its own. It still uses an answer that
-/// comes after them, so a slow platform is heard in the end.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(45);
-
 /// The room for an object's version and quotes around its value, in bytes.
 const MAX_ENVELOPE: usize = 1_024;
 
@@ -101,7 +96,7 @@
 }
 
 async fn call(client: Client, address: SocketAddr, op: PlatformOp) -> PlatformOutcome {
-    let limit = ANSWER_TIMEOUT + watch_time(&op);
+    let limit = Duration::from_millis(ANSWER_TIMEOUT.0) + watch_time(&op);
     match actix_rt::time::timeout(limit, send(&client, address, &op)).await {
         Ok(Some(outcome)) => outcome,
         Ok(None) | Err(_) => PlatformOutcome::NoAnswer,
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -27,7 +27,8 @@
             PlatformCall,
             PlatformCallId,
             PlatformOp,
-            PlatformOutcome, //
+            PlatformOutcome,
+            platform::ANSWER_TIMEOUT, //
         },
         membership::{
             Seed,
@@ -577,13 +578,12 @@
     }
 
     fn send_platform(&mut self, at: usize, run: Incarnation, call: PlatformCall) {
-        const NO_ANSWER_AFTER: Millis = Millis::from_secs(5);
         let watch_time = match &call.op {
             PlatformOp::Watch { timeout, .. } => *timeout,
             _ => Millis(0),
         };
         let no_answer = Arrival::PlatformAnswer(at, run, call.id, PlatformOutcome::NoAnswer);
-        self.schedule(Millis(watch_time.0 + NO_ANSWER_AFTER.0), no_answer);
+        self.schedule(Millis(watch_time.0 + ANSWER_TIMEOUT.0), no_answer);
         if let Some(delay) = self.copies(at, PLATFORM).first().copied() {
             self.schedule(delay, Arrival::Platform(at, run, call));
         }
--- /dev/null
+++ b/tests/intent_races.rs
@@ -0,0 +1,296 @@
+//! Operators who race each other while the platform, the links and the VMs
+//! fail. The histories are checked from the records of the platform and of
+//! the operators alone.
+
+#![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
+
+mod intent_support;
+
+use dragonflytrack::{
+    core::{
+        intent::{
+            AdminCallId,
+            AdminOp,
+            CONFIGURATION_KEY,
+            Intent,
+            Record, //
+        },
+        names::PlanId,
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+use dragonflytrack_testkit::{
+    FakePlatform,
+    platform::{
+        Weather,
+        Write, //
+    },
+    sample,
+};
+use intent_support::{
+    Fleet6,
+    history::{
+        Told,
+        check_answers,
+        check_chain,
+        check_never_reverts, //
+    },
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng,
+    seq::IndexedRandom, //
+};
+
+/// How many histories are run.
+const HISTORIES: u64 = 30;
+
+/// How many operators act at once.
+const OPERATORS: usize = 5;
+
+/// How long a history lasts before the faults end.
+const FAULTY: Millis = Millis::from_secs(60);
+
+/// What an operator is doing.
+enum Step {
+    Idle(Time),
+    Planning(usize, AdminCallId, Time),
+    Confirming(usize, AdminCallId, PlanId, Time),
+}
+
+/// How long an operator waits for an answer of a VM that may have died.
+const PATIENCE: Millis = Millis::from_secs(15);
+
+struct History {
+    f: Fleet6,
+    rng: SmallRng,
+    operators: Vec<Step>,
+    told: Vec<Told>,
+}
+
+impl History {
+    fn open(seed: u64) -> History {
+        let operators = (0..OPERATORS).map(|n| Step::Idle(Time(3_000 + n as u64)));
+        History {
+            f: Fleet6::open(seed),
+            rng: SmallRng::seed_from_u64(seed ^ 0xace),
+            operators: operators.collect(),
+            told: Vec::new(),
+        }
+    }
+
+    fn run(&mut self) {
+        let end = self.f.fleet.now + FAULTY;
+        while self.f.fleet.now < end {
+            self.disturb();
+            self.act_for(Millis(500));
+        }
+        self.mend();
+        self.act_for(Millis::from_secs(20));
+    }
+
+    /// Brings about a new mixture of failures now and then.
+    fn disturb(&mut self) {
+        if !self.rng.random_bool(0.2) {
+            return;
+        }
+        let weathers = [
+            Weather::Fair,
+            Weather::Fair,
+            Weather::AnswersLost,
+            Weather::DownAfterWrite,
+            Weather::Slow(Millis(4_000)),
+            Weather::Down,
+        ];
+        self.f.fleet.platform.weather = *weathers.choose(&mut self.rng).unwrap();
+        self.f.fleet.links.loss = self.rng.random_range(0.0..0.3);
+        self.f.fleet.links.duplication = self.rng.random_range(0.0..0.2);
+        match self.rng.random_range(0..4) {
+            0 => self.f.fleet.platform.go_stale(),
+            1 => self.f.fleet.platform.go_fresh(),
+            2 => self.restart_one(),
+            _ => {
+                let at = self.rng.random_range(0..6);
+                self.f.fleet.freeze(at, Millis::from_secs(3));
+            }
+        }
+    }
+
+    fn restart_one(&mut self) {
+        let at = self.rng.random_range(0..6);
+        self.f.fleet.kill(at);
+        self.f.fleet.start(at);
+    }
+
+    fn mend(&mut self) {
+        self.f.fleet.platform.weather = Weather::Fair;
+        self.f.fleet.platform.go_fresh();
+        self.f.fleet.links.loss = 0.0;
+    }
+
+    fn act_for(&mut self, span: Millis) {
+        let end = self.f.fleet.now + span;
+        while self.f.fleet.now < end {
+            for n in 0..OPERATORS {
+                self.act(n);
+            }
+            self.f.fleet.run_for(Millis(50));
+        }
+    }
+
+    fn act(&mut self, n: usize) {
+        let now = self.f.fleet.now;
+        match self.operators[n] {
+            Step::Idle(until) if now >= until => self.ask_for_plan(n),
+            Step::Idle(_) => {}
+            Step::Planning(at, id, until) => match self.f.answer(at, id) {
+                Some(reply) if reply.status == 201 => {
+                    self.confirm(n, intent_support::plan_id(&reply.body));
+                }
+                None if now < until => {}
+                _ => self.rest(n),
+            },
+            Step::Confirming(at, id, ref plan, until) => {
+                let reply = self.f.answer(at, id);
+                if reply.is_none() && now < until {
+                    return;
+                }
+                let plan = plan.clone();
+                let is_open = reply.as_ref().is_none_or(|r| r.status >= 500);
+                self.told.push(Told {
+                    plan: plan.to_string(),
+                    reply,
+                });
+                // Operators repeat what was not answered, and sometimes more.
+                if is_open || self.rng.random_bool(0.2) {
+                    self.confirm(n, plan);
+                } else {
+                    self.rest(n);
+                }
+            }
+        }
+    }
+
+    fn ask_for_plan(&mut self, n: usize) {
+        let backend = format!("fitting-svc-{:02}", self.rng.random_range(0..15));
+        let dc = *sample::HU_CENTRAL.choose(&mut self.rng).unwrap();
+        let intent: Intent = match self.rng.random_range(0..6) {
+            0 => intent_support::out(dc),
+            1 => intent_support::take_back(dc),
+            2 | 3 => intent_support::drain(&backend),
+            _ => intent_support::undrain(&backend),
+        };
+        let at = self.rng.random_range(0..6);
+        let id = self.f.begin(at, AdminOp::MakePlan(intent));
+        let until = self.f.fleet.now + PATIENCE;
+        self.operators[n] = Step::Planning(at, id, until);
+    }
+
+    fn confirm(&mut self, n: usize, plan: PlanId) {
+        let at = self.rng.random_range(0..6);
+        let id = self.f.begin(at, AdminOp::Confirm(plan.clone()));
+        let until = self.f.fleet.now + PATIENCE;
+        self.operators[n] = Step::Confirming(at, id, plan, until);
+    }
+
+    fn rest(&mut self, n: usize) {
+        let wait = Millis(self.rng.random_range(10..2_000));
+        self.operators[n] = Step::Idle(self.f.fleet.now + wait);
+    }
+}
+
+#[test]
+fn racing_operators_leave_a_chain_and_true_answers() {
+    let mut confirmed = 0;
+    let mut refused = 0;
+    for seed in 0..HISTORIES {
+        let mut history = History::open(seed);
+        history.run();
+        let fleet = &history.f.fleet;
+        let writes = &fleet.platform.writes;
+        check_chain(1, writes).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        check_answers(writes, &history.told).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        check_never_reverts(fleet).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        let stored = history.f.stored()["generation"].as_u64().unwrap();
+        let took = history.f.until_everywhere(stored, Millis::from_secs(7));
+        assert!(took.is_some(), "seed {seed}: {:?}", history.f.generations());
+        let count = |status| {
+            let replies = history.told.iter().filter_map(|t| t.reply.as_ref());
+            replies.filter(|r| r.status == status).count()
+        };
+        confirmed += count(200);
+        refused += count(409);
+    }
+    // The histories must have had something to check.
+    assert!(confirmed > 500, "{confirmed} confirmations");
+    assert!(refused > 100, "{refused} refusals");
+    println!("{confirmed} confirmations, {refused} refusals in {HISTORIES} histories");
+}
+
+/// The naive way: read the record, change it, and write it without a
+/// precondition. Returns the answer that the operator would get.
+fn confirm_without_precondition(
+    platform: &mut FakePlatform,
+    writes: &mut Vec<Write>,
+    read: &Record,
+    (intent, plan): (&Intent, &str),
+) -> Told {
+    let plan_id = PlanId::new(plan);
+    let next = read.confirm(intent.apply_to(&read.cfg).unwrap(), &plan_id);
+    let base = platform.object(CONFIGURATION_KEY).unwrap().version;
+    let object = platform.force(CONFIGURATION_KEY, next.to_value());
+    writes.push(Write {
+        key: CONFIGURATION_KEY.to_owned(),
+        base,
+        object,
+    });
+    Told {
+        plan: plan.to_owned(),
+        reply: None,
+    }
+}
+
+#[test]
+fn the_checker_catches_a_writer_without_precondition() {
+    let f = Fleet6::open(1);
+    let mut platform = f.fleet.platform.clone();
+    let mut writes = Vec::new();
+    let read = Record::from_value(&f.stored()).unwrap().record;
+    // Two operators read the same record, and both write.
+    for (backend, plan) in [("fitting-svc-00", "a"), ("fitting-svc-01", "b")] {
+        let intent = intent_support::drain(backend);
+        confirm_without_precondition(&mut platform, &mut writes, &read, (&intent, plan));
+    }
+    let broken = check_chain(1, &writes).unwrap_err();
+    assert_eq!(broken, "generation 2 after 2");
+}
+
+#[test]
+fn the_checker_catches_a_plan_that_takes_effect_twice_and_a_false_refusal() {
+    let f = Fleet6::open(2);
+    let mut platform = f.fleet.platform.clone();
+    let mut writes = Vec::new();
+    // A lost answer makes the naive operator write the same plan again.
+    for backend in ["fitting-svc-00", "fitting-svc-01"] {
+        let stored = platform.object(CONFIGURATION_KEY).unwrap().value.clone();
+        let read = Record::from_value(&stored).unwrap().record;
+        let intent = intent_support::drain(backend);
+        confirm_without_precondition(&mut platform, &mut writes, &read, (&intent, "a"));
+    }
+    assert!(check_chain(1, &writes).is_ok());
+    assert!(check_answers(&writes, &[]).unwrap_err().contains("[2, 3]"));
+    let refused = dragonflytrack::core::intent::AdminReply {
+        id: AdminCallId(0),
+        status: 409,
+        body: serde_json::Value::Null,
+    };
+    let told = Told {
+        plan: "a".to_owned(),
+        reply: Some(refused),
+    };
+    assert!(check_answers(&writes[..1], &[told]).is_err());
+}
--- a/tests/intent_support/mod.rs
+++ b/tests/intent_support/mod.rs
@@ -3,6 +3,8 @@
 #![expect(dead_code, reason = "each test file uses a part")]
 #![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
 
+pub mod history;
+
 use std::sync::Arc;
 
 use dragonflytrack::{
