--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -7,12 +7,15 @@
 
 pub mod backend;
 pub mod fleet;
+pub mod flow_load;
 pub mod links;
 pub mod packet;
 pub mod platform;
+pub mod process;
 pub mod sample;
 
 pub use backend::FakeBackend;
 pub use fleet::Fleet;
+pub use flow_load::FlowLoad;
 pub use links::Links;
 pub use platform::FakePlatform;
