--- /dev/null
+++ b/tests/intent_objects.rs
@@ -0,0 +1,267 @@
+//! Objects that make no sense, written past the plans, and messages that
+//! cannot be decoded.
+
+#![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
+
+mod intent_support;
+
+use dragonflytrack::{
+    core::{
+        intent::{
+            CONFIGURATION_KEY,
+            Intent,
+            Record,
+            validation::check, //
+        },
+        message::Envelope,
+    },
+    kernel::clock::Millis,
+};
+use intent_support::{
+    Fleet6, drain,
+    history::{
+        check_chain,
+        check_never_reverts, //
+    },
+    out,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{
+        Config,
+        RngAlgorithm,
+        TestRng,
+        TestRunner, //
+    },
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// Writes the record past the plans under the next generation.
+fn force(f: &mut Fleet6, edit: impl Fn(&mut Value)) {
+    let mut value = f.stored();
+    value["generation"] = json!(value["generation"].as_u64().unwrap() + 1);
+    edit(&mut value);
+    f.fleet.platform.force(CONFIGURATION_KEY, value);
+    f.fleet.wake_watches();
+    f.fleet.run_for(Millis::from_secs(7));
+}
+
+fn refused(f: &mut Fleet6, at: usize) -> String {
+    f.status(at)["refused"].to_string()
+}
+
+#[test]
+fn a_bad_object_is_refused_whole_and_the_others_go_on() {
+    let mut f = Fleet6::open(1);
+    force(&mut f, |v| {
+        // One object has two bad fields and a good one; another is good.
+        v["backends"][0]["slots"] = json!(0);
+        v["backends"][0]["service"] = json!("ghost");
+        v["backends"][0]["connections"] = json!(7);
+        v["backends"][1]["slots"] = json!(9);
+    });
+    assert_eq!(f.generations(), [3; 6]);
+    let cfg = f.cfg(5);
+    assert_eq!(cfg.backends[0].slots, 2);
+    assert_eq!(cfg.backends[0].connections, 2_000);
+    assert_eq!(cfg.backends[1].slots, 9);
+    for at in 0..6 {
+        let reasons = refused(&mut f, at);
+        assert!(reasons.contains("fitting-svc-00"), "{reasons}");
+        assert!(reasons.contains("slots = 0"), "{reasons}");
+        assert!(reasons.contains("service = ghost"), "{reasons}");
+    }
+    // A VM that starts later sees the same.
+    f.fleet.kill(0);
+    f.fleet.start(0);
+    f.fleet.run_for(Millis::from_secs(3));
+    assert_eq!(*f.cfg(0), *f.cfg(5));
+}
+
+#[test]
+fn an_object_that_cannot_be_decoded_is_refused_and_the_others_go_on() {
+    let mut f = Fleet6::open(2);
+    force(&mut f, |v| {
+        v["services"][0]["address"] = json!("not an address");
+        v["services"][1]["protocol"] = json!("udp");
+        v["backends"][3] = json!(17);
+        v["data_centres"][0]["colour"] = json!("red");
+    });
+    assert_eq!(f.generations(), [3; 6]);
+    let cfg = f.cfg(2);
+    assert_eq!(cfg.services.len(), 2);
+    assert_eq!(cfg.data_centres.len(), 3);
+    assert_eq!(
+        cfg.backends.len(),
+        18,
+        "a nameless object has no last good version"
+    );
+    let reasons = refused(&mut f, 2);
+    for part in ["fitting-svc", "colour", "bud-a"] {
+        assert!(reasons.contains(part), "{part} in {reasons}");
+    }
+}
+
+#[test]
+fn a_record_that_is_no_record_changes_nothing_and_is_replaced() {
+    for (seed, bad) in [json!(null), json!([1]), json!({ "generation": 9 })]
+        .into_iter()
+        .enumerate()
+    {
+        let mut f = Fleet6::open(seed as u64);
+        let before = f.cfg(0);
+        f.fleet.platform.force(CONFIGURATION_KEY, bad);
+        f.fleet.wake_watches();
+        f.fleet.run_for(Millis::from_secs(7));
+        assert_eq!(f.cfg(3).backends, before.backends);
+        assert_eq!(f.stored()["backends"].as_array().unwrap().len(), 19);
+        let plan = f.plan(0, drain("fitting-svc-00"));
+        assert_eq!(f.confirm(1, &plan).status, 200);
+    }
+}
+
+#[test]
+fn two_backend_servers_with_one_address_are_not_put_in_force() {
+    let mut f = Fleet6::open(4);
+    force(&mut f, |v| {
+        let taken = v["backends"][1]["packets"].clone();
+        v["backends"][0]["packets"] = taken;
+    });
+    assert!(check(&f.cfg(0)).is_empty());
+    assert!(refused(&mut f, 1).contains("has it already"));
+}
+
+#[test]
+fn a_bad_record_does_not_take_an_earlier_decision_back() {
+    // VM 0 missed the decision when the bad record comes.
+    for seed in 0..10 {
+        let mut f = Fleet6::open(seed);
+        f.fleet.freeze(0, Millis::from_secs(4));
+        let plan = f.plan(1, out("bud-a"));
+        assert_eq!(f.confirm(1, &plan).status, 200);
+        force(&mut f, |v| v["data_centres"][0]["share"] = json!(130));
+        f.fleet.run_for(Millis::from_secs(10));
+        for at in 0..6 {
+            let cfg = f.cfg(at);
+            let share = cfg.data_centre(&"bud-a".into()).unwrap().share;
+            assert_eq!(share, 0, "seed {seed}, vm{at}");
+        }
+        check_never_reverts(&f.fleet).unwrap();
+    }
+}
+
+#[test]
+fn apply_replaces_objects_and_keeps_what_operators_decided() {
+    let mut f = Fleet6::open(5);
+    for intent in [drain("fitting-svc-01"), out("bud-b")] {
+        let plan = f.plan(0, intent);
+        assert_eq!(f.confirm(0, &plan).status, 200);
+    }
+    let mut want = f.stored();
+    for backend in want["backends"].as_array_mut().unwrap() {
+        backend.as_object_mut().unwrap().remove("state");
+        backend["slots"] = json!(3);
+    }
+    for dc in want["data_centres"].as_array_mut().unwrap() {
+        *dc = json!({ "name": dc["name"] });
+    }
+    let list = |name: &str| want[name].as_array().unwrap().clone();
+    let plan = f.plan(
+        2,
+        Intent::Apply {
+            services: list("services"),
+            backends: list("backends"),
+            data_centres: list("data_centres"),
+        },
+    );
+    assert_eq!(f.confirm(3, &plan).status, 200);
+    f.fleet.run_for(Millis::from_secs(1));
+    let cfg = f.cfg(4);
+    assert!(cfg.backends.iter().all(|b| b.slots == 3));
+    assert_eq!(cfg.new_work_share(&cfg.backends[1]), 0);
+    assert_eq!(cfg.data_centre(&"bud-b".into()).unwrap().share, 0);
+    check_chain(1, &f.fleet.platform.writes).unwrap();
+}
+
+/// Runs `check` on random values, the same in each run.
+fn for_random<S: Strategy>(strategy: &S, check: impl Fn(S::Value)) {
+    let config = Config {
+        cases: 300,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let outcome = runner.run(strategy, |value| {
+        check(value);
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        "[ -~]{0,12}".prop_map(Value::from),
+    ];
+    let names = prop_oneof![
+        Just("name".to_owned()),
+        Just("generation".to_owned()),
+        Just("services".to_owned()),
+        Just("backends".to_owned()),
+        Just("data_centres".to_owned()),
+        Just("confirmed".to_owned()),
+        "[a-z]{1,6}",
+    ];
+    leaf.prop_recursive(4, 48, 6, move |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..6).prop_map(Value::from),
+            prop::collection::btree_map(names.clone(), inner, 0..6)
+                .prop_map(|m| Value::Object(m.into_iter().collect())),
+        ]
+    })
+}
+
+#[test]
+fn no_value_at_the_platform_harms_a_vm() {
+    let edit = (0..3_usize, 0..19_usize, any_json());
+    for_random(&edit, |(list, at, value)| {
+        let mut f = Fleet6::open_with(1, 1);
+        let mut record = f.stored();
+        record["generation"] = json!(2);
+        let name = ["services", "backends", "data_centres"][list];
+        let objects = record[name].as_array_mut().unwrap();
+        let at = at % objects.len();
+        objects[at] = value;
+        f.fleet.platform.force(CONFIGURATION_KEY, record);
+        f.fleet.wake_watches();
+        f.fleet.run_for(Millis::from_secs(3));
+        assert!(check(&f.cfg(0)).is_empty());
+        assert_eq!(f.generations(), [3; 3]);
+    });
+}
+
+#[test]
+fn decoders_survive_any_input() {
+    for_random(&any_json(), |value| {
+        let _ = Record::from_value(&value);
+        let _ = serde_json::from_value::<Intent>(value);
+    });
+    for_random(&prop::collection::vec(any::<u8>(), 0..200), |bytes| {
+        let _ = Envelope::decode(&bytes);
+    });
+}
+
+#[test]
+fn a_record_survives_its_codecs() {
+    let f = Fleet6::open(6);
+    let record = Record::from_value(&f.stored()).unwrap().record;
+    let again = Record::from_value(&record.to_value()).unwrap().record;
+    assert_eq!(again, record);
+    assert_eq!(again.digest(), record.digest());
+}
--- a/tests/intent_support/mod.rs
+++ b/tests/intent_support/mod.rs
@@ -89,6 +89,20 @@
         self.wait(at, id)
     }
 
+    /// Calls the VM `at`, which may be frozen, and waits for the answer if it
+    /// comes in time.
+    pub fn ask_patiently(&mut self, at: usize, op: AdminOp) -> Option<AdminReply> {
+        let id = self.begin(at, op);
+        let end = self.fleet.now + LONGEST_CALL + LONGEST_CALL;
+        while self.fleet.now < end {
+            if let Some(reply) = self.answer(at, id) {
+                return Some(reply);
+            }
+            self.fleet.run_for(Millis(10));
+        }
+        None
+    }
+
     /// Makes a plan at the VM `at`.
     pub fn plan(&mut self, at: usize, intent: Intent) -> Value {
         let reply = self.ask(at, AdminOp::MakePlan(intent));
