--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -22,6 +22,6 @@
 fi
 
 if [ ${#skips[@]} -eq 0 ]; then
-    exec cargo test --workspace
+    exec cargo test --workspace --no-fail-fast
 fi
-exec cargo test --workspace -- --exact "${skips[@]}"
+exec cargo test --workspace --no-fail-fast -- --exact "${skips[@]}"
--- a/src/core/request/dispatch.rs
+++ b/src/core/request/dispatch.rs
@@ -6,6 +6,7 @@
         capacity::{
             Capacity,
             NoSlot,
+            RUN_LIMIT,
             Slot, //
         },
         counter::Counter,
@@ -88,13 +89,14 @@
     }
 
     fn dispatch(&mut self, cx: &mut Cx<'_>, capacity: &mut Capacity, job: Job, slot: Slot) {
-        let left = job.deadline.since(cx.now).min(slot.until.since(cx.wall));
+        let left = job.deadline.since(cx.now).min(RUN_LIMIT);
+        let start_within = left.min(slot.until.since(cx.wall));
         let Some(to) = cx.cfg.backend(&slot.backend).map(|b| b.requests) else {
             capacity.release(cx, &slot, unused());
             self.fail(job, NotRunReason::NoBackend);
             return;
         };
-        if left == Millis(0) {
+        if start_within == Millis(0) {
             capacity.release(cx, &slot, unused());
             self.fail(job, NotRunReason::NoSlot);
             return;
@@ -105,7 +107,7 @@
             id,
             to,
             request: job.request.clone(),
-            deadline: cx.wall + left,
+            deadline: cx.wall + start_within,
             timeout: left,
         }));
         self.service(&job.service).running += 1;
