--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -21,10 +21,7 @@
         Summary, //
     },
     configuration::Configuration,
-    configure::{
-        self,
-        Change, //
-    },
+    configure,
     fabric,
     platform,
     report, //
@@ -51,7 +48,7 @@
     Backends(BackendsArgs),
     #[options(help = "keep flows open and send requests, and check what comes back")]
     Callers(CallersArgs),
-    #[options(help = "write configurations to the platform")]
+    #[options(help = "write the first configuration to the platform")]
     Configure(ConfigureArgs),
     #[options(help = "add up the callers' summaries of a demo")]
     Summarize(SummarizeArgs),
@@ -140,19 +137,8 @@
     help: bool,
     #[options(required, help = "the platform's address", meta = "IP:PORT")]
     platform: Address,
-    #[options(help = "the first configuration", meta = "FILE")]
-    first: Option<PathBuf>,
-    #[options(help = "drain this backend server", meta = "BACKEND")]
-    drain: Option<String>,
-    #[options(help = "take this data centre out", meta = "DATA-CENTRE", no_short)]
-    out: Option<String>,
-    #[options(
-        help = "return this data centre",
-        long = "return",
-        meta = "DATA-CENTRE",
-        no_short
-    )]
-    back: Option<String>,
+    #[options(required, help = "the configuration", meta = "FILE")]
+    first: PathBuf,
 }
 
 #[derive(Debug, Options)]
@@ -184,27 +170,14 @@
         Command::Fabric(args) => run_fabric(args).await,
         Command::Backends(args) => run_backends(&args).await,
         Command::Callers(args) => run_callers(args).await,
-        Command::Configure(args) => run_configure(args).await,
+        Command::Configure(args) => {
+            let cfg = Configuration::load(&args.first)?;
+            configure::configure(args.platform.0, &cfg).await
+        }
         Command::Summarize(args) => report("demo: ", &report::add_up(&args.files)?),
     }
 }
 
-async fn run_configure(args: ConfigureArgs) -> io::Result<()> {
-    let platform = args.platform.0;
-    if let Some(file) = args.first {
-        configure::configure(platform, &Configuration::load(file)?).await?;
-    }
-    let changes = [
-        args.drain.map(Change::Drain),
-        args.out.map(Change::Out),
-        args.back.map(Change::Return),
-    ];
-    for change in changes.iter().flatten() {
-        configure::amend(platform, change).await?;
-    }
-    Ok(())
-}
-
 async fn run_fabric(args: FabricArgs) -> io::Result<()> {
     let fabric = fabric::Fabric {
         listen: args.listen.0,
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -93,10 +93,17 @@
     await "entry VM $1" answers "${ip[$1]}" 9100 /readyz
 }
 
-# change ARGUMENTS...: changes the configuration.
-change() {
-    "$EMULATOR" configure --platform "$net.0.1:8090" "$@" >"$dir/change.log" 2>&1 ||
-        fail "configuration: $(cat "$dir/change.log")"
+configure() {
+    "$EMULATOR" configure --platform "$net.0.1:8090" --first "$dir/configuration.json" \
+        >>"$dir/configure.log" 2>&1
+}
+
+# operate INTENT NAME: plans a change and confirms the plan.
+operate() {
+    local plan
+    "$VM" plan "$@" "${admins[@]}" >"$dir/plan.log" 2>&1 || fail "no plan for $*"
+    plan=$(sed -n 's/^plan \([^:]*\):.*/\1/p' "$dir/plan.log")
+    "$VM" confirm "$plan" "${admins[@]}" >"$dir/confirm.log" 2>&1 || fail "no confirmation of $*"
 }
 
 start_system() {
@@ -105,7 +112,7 @@
         --control "$net.0.3:8091" --run-time 20
     start fabric "$EMULATOR" fabric --listen "$net.0.2:6080" \
         --replies "$net.0.2:6082" --list "$dir/list"
-    await platform change --first "$dir/configuration.json"
+    await platform configure
     for name in "${vms[@]}"; do
         start_vm "$name"
     done
@@ -132,6 +139,7 @@
     # A loopback network of the run's own keeps two demos apart.
     net=127.$((RANDOM % 120 + 130))
     vms=()
+    admins=()
     declare -gA ip=()
     for sample in samples/"$deployment"/*; do
         sed -E "s/127\.[0-9]+\./$net./g" "$sample" >"$dir/${sample##*/}"
@@ -140,6 +148,7 @@
         name=$(basename "$sample" .ini)
         vms+=("$name")
         ip[$name]=$(sed -n 's/^admin = \(.*\):.*/\1/p' "$sample")
+        admins+=(--admin "${ip[$name]}:9100")
     done
     list_vms
 
@@ -147,7 +156,7 @@
     say "$deployment: ${#vms[@]} entry VMs are ready"
     start_callers
     sleep 2
-    change --drain "$backend"
+    operate drain "$backend"
     say "$deployment: $backend drains"
     sleep 2
     stop "$victim"
@@ -160,10 +169,10 @@
     list_vms
     say "$deployment: entry VM $victim is back"
     sleep 2
-    change --out "$data_centre"
+    operate out "$data_centre"
     say "$deployment: data centre $data_centre is out"
     sleep 3
-    change --return "$data_centre"
+    operate return "$data_centre"
     say "$deployment: data centre $data_centre returns"
     wait "${pids[callers]}" || true
     unset "pids[callers]"
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -5,6 +5,8 @@
 //! | 0 | the command did what it was asked |
 //! | 1 | it failed while it ran |
 //! | 2 | the command line or the settings make no sense |
+//! | 3 | no entry VM answered |
+//! | 4 | the outcome could not be learnt; repeat the command |
 
 use std::process::ExitCode;
 
@@ -16,6 +18,7 @@
 pub mod plan;
 pub mod run;
 pub mod services;
+pub mod shutdown;
 pub mod status;
 pub mod table;
 pub mod version;
