Ask every VM once about a flow, whatever its view

Cause: a look-up was passed on by its position in the receiver's ranking, so VMs with different views skipped the homes; a repeated SYN that another home placed on the base left the pin of the first attempt behind; lost parts of a transfer went unnoticed.

Change: the header lists the visited VMs; an uncertain home records also flows on the base; transfers have numbered parts; a VM that was lost sight of is told until it asks.

--- a/src/core/flow/answers.rs
+++ b/src/core/flow/answers.rs
@@ -14,6 +14,10 @@
                 EntryKind, //
             },
             message::Pins,
+            relay::{
+                VmTag,
+                tag, //
+            },
             service::ServiceFlows, //
         },
         names::VmId, //
@@ -52,9 +56,9 @@
 
 impl Flows {
     /// Tells `asker` that a flow lives at `place`, with the next batch.
-    pub(super) fn answer(&mut self, cx: &mut Cx<'_>, asker: u64, place: Place) {
+    pub(super) fn answer(&mut self, cx: &mut Cx<'_>, asker: VmTag, place: Place) {
         let view = cx.view;
-        let Some(member) = view.others().find(|m| m.vm.id.hash64() == asker) else {
+        let Some(member) = view.others().find(|m| tag(&m.vm.id) == asker) else {
             return;
         };
         if self.answers.count >= MAX_PER_INTERVAL {
--- a/src/core/flow/message.rs
+++ b/src/core/flow/message.rs
@@ -96,6 +96,8 @@
     Answers(Vec<Pins>),
     /// Asks for the pins of buckets that the sender has become a home of.
     PinsWanted {
+        /// Identifies the question at its sender.
+        number: u32,
         /// The service.
         service: ServiceId,
         /// The buckets.
@@ -103,8 +105,10 @@
     },
     /// A part of the answer to [`FlowMessage::PinsWanted`].
     PinsPart {
-        /// The service.
-        service: ServiceId,
+        /// The question.
+        number: u32,
+        /// Counts the parts of the answer.
+        part: u32,
         /// Some of the pins.
         pins: Vec<Pins>,
         /// Set in the last part: the asked buckets all of whose pins the
--- a/src/core/flow/mod.rs
+++ b/src/core/flow/mod.rs
@@ -55,11 +55,17 @@
 use history::HistoryFetch;
 use service::ServiceFlows;
 use stability::Stability;
-use sync::PinSync;
+use sync::{
+    PinSync,
+    PinsAnswer, //
+};
 
 /// How often expired flows are removed.
 const SWEEP_INTERVAL: Millis = Millis::from_secs(10);
 
+/// How often a VM is told that it was lost sight of.
+const LOST_SIGHT_INTERVAL: Millis = Millis(200);
+
 /// How long a stopping VM waits for questions of the new homes.
 const HANDOVER_TIME: Millis = Millis::from_secs(4);
 
@@ -96,6 +102,9 @@
     /// Invariant: at most [`hold::MAX_HELD`].
     held: VecDeque<Bytes>,
     next_sweep: Time,
+    /// The VMs that have to be told that they may have missed pins.
+    lost_sight: Vec<VmId>,
+    next_lost_sight: Time,
     /// When the planned stop of this VM began.
     stopping: Option<Time>,
     /// Whether the new homes have what they asked for since then.
@@ -182,8 +191,12 @@
         }
         self.history.restart(cx.now);
         for id in &gained.regained {
-            cx.send(id, FlowMessage::LostSight);
+            if !self.lost_sight.contains(id) {
+                self.lost_sight.push(id.clone());
+            }
         }
+        self.next_lost_sight = cx.now;
+        self.tell_lost_sight(cx);
         // Most others came back at once: it was this VM that was cut off.
         if gained.regained.len() * 2 > cx.view.others().count() {
             self.distrust(cx);
@@ -198,6 +211,7 @@
     /// Does what has become due.
     pub fn tick(&mut self, cx: &mut Cx<'_>) {
         self.on_view(cx);
+        self.tell_lost_sight(cx);
         self.fetch_history(cx);
         self.release_held(cx);
         self.advance_activation(cx);
@@ -218,20 +232,35 @@
                 self.on_prepare(cx, from, number, &services);
             }
             FlowMessage::Prepared { number } => self.on_prepared(cx, from, number),
-            FlowMessage::HistoryWanted { number } => self.send_history(cx, from, number),
+            FlowMessage::HistoryWanted { number } => {
+                self.lost_sight.retain(|id| id != from);
+                self.send_history(cx, from, number);
+            }
             FlowMessage::History { number, services } => {
                 self.on_history(cx, from, number, services);
             }
             FlowMessage::LostSight => self.distrust(cx),
             FlowMessage::Answers(answers) => self.on_answers(cx, &answers),
-            FlowMessage::PinsWanted { service, buckets } => {
-                self.on_pins_wanted(cx, from, &service, &buckets);
-            }
-            FlowMessage::PinsPart {
+            FlowMessage::PinsWanted {
+                number,
                 service,
+                buckets,
+            } => self.on_pins_wanted(cx, from, number, &service, &buckets),
+            FlowMessage::PinsPart {
+                number,
+                part,
                 pins,
                 complete,
-            } => self.on_pins_part(cx, from, &service, &pins, complete),
+            } => {
+                let pins = &pins;
+                let answer = PinsAnswer {
+                    number,
+                    part,
+                    pins,
+                    complete,
+                };
+                self.on_pins_part(cx, answer);
+            }
         }
     }
 
@@ -250,6 +279,19 @@
         }
     }
 
+    /// Tells VMs that were lost sight of, until they ask for the history.
+    fn tell_lost_sight(&mut self, cx: &mut Cx<'_>) {
+        if cx.now < self.next_lost_sight {
+            return;
+        }
+        self.next_lost_sight = cx.now + LOST_SIGHT_INTERVAL;
+        let view = cx.view;
+        self.lost_sight.retain(|id| view.member(id).is_some());
+        for id in &self.lost_sight {
+            cx.send(id, FlowMessage::LostSight);
+        }
+    }
+
     /// Asks the other VMs before what this one knows is used again.
     fn distrust(&mut self, cx: &mut Cx<'_>) {
         for service in &mut self.services {
--- a/src/core/flow/relay.rs
+++ b/src/core/flow/relay.rs
@@ -1,17 +1,30 @@
 //! Packets that VMs hand to each other, with a short header in front.
 
 use bytes::{
+    Buf,
     BufMut,
     Bytes,
     BytesMut, //
 };
+use smallvec::SmallVec;
 
-/// The length of an encoded header in bytes.
-pub const HEADER_LEN: usize = 18;
+use crate::core::names::VmId;
 
 /// Marks a header. No IP packet begins with this nibble.
 const MAGIC: u8 = 0xd0;
 
+/// The most VMs that one packet visits.
+pub const MAX_PATH: usize = 16;
+
+/// A short hash of a VM's name.
+pub type VmTag = u32;
+
+/// The VMs that a packet has visited. The first one got it from the fabric.
+///
+/// Invariant: at most [`MAX_PATH`], and none of them twice, so that no packet
+/// circles for ever.
+pub type Path = SmallVec<[VmTag; 8]>;
+
 /// What the receiver of a relayed packet does with it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RelayKind {
@@ -24,18 +37,19 @@
 }
 
 /// The header of a relayed packet.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RelayHeader {
     /// What to do with the packet.
     pub kind: RelayKind,
-    /// How many VMs have passed the packet on already.
-    ///
-    /// Invariant: increases with each VM, so that no packet circles for ever.
-    pub hop: u8,
-    /// The hash of the name of the VM that the fabric handed the packet to.
-    pub asker: u64,
     /// The hash of the name of the backend server to record, or zero.
     pub backend: u64,
+    /// The VMs that the packet has visited.
+    pub path: Path,
+}
+
+/// Returns the tag of the VM called `id`.
+pub fn tag(id: &VmId) -> VmTag {
+    id.hash64() as VmTag
 }
 
 impl RelayHeader {
@@ -46,11 +60,14 @@
             RelayKind::Open => 2,
             RelayKind::Record => 3,
         };
-        let mut buf = BytesMut::with_capacity(HEADER_LEN + packet.len());
+        let len = 2 + size_of::<u64>() + self.path.len() * size_of::<VmTag>();
+        let mut buf = BytesMut::with_capacity(len + packet.len());
         buf.put_u8(MAGIC | kind);
-        buf.put_u8(self.hop);
-        buf.put_u64(self.asker);
+        buf.put_u8(self.path.len() as u8);
         buf.put_u64(self.backend);
+        for tag in &self.path {
+            buf.put_u32(*tag);
+        }
         buf.put_slice(packet);
         buf.freeze()
     }
@@ -58,24 +75,27 @@
     /// Splits a relayed packet into its header and the IP packet. Returns
     /// `None` if it has no valid header.
     pub fn split(relayed: &Bytes) -> Option<(RelayHeader, Bytes)> {
-        let (header, _) = relayed.split_first_chunk::<HEADER_LEN>()?;
-        let kind = match header[0] ^ MAGIC {
+        let mut rest = relayed.clone();
+        let kind = match rest.try_get_u8().ok()? ^ MAGIC {
             1 => RelayKind::Lookup,
             2 => RelayKind::Open,
             3 => RelayKind::Record,
             _ => return None,
         };
-        let number = |at: usize| {
-            let mut raw = [0; 8];
-            raw.copy_from_slice(&header[at..at + 8]);
-            u64::from_be_bytes(raw)
-        };
-        let parsed = RelayHeader {
+        let len = usize::from(rest.try_get_u8().ok()?);
+        if len == 0 || len > MAX_PATH {
+            return None;
+        }
+        let backend = rest.try_get_u64().ok()?;
+        let mut path = Path::new();
+        for _ in 0..len {
+            path.push(rest.try_get_u32().ok()?);
+        }
+        let header = RelayHeader {
             kind,
-            hop: header[1],
-            asker: number(2),
-            backend: number(10),
+            backend,
+            path,
         };
-        Some((parsed, relayed.slice(HEADER_LEN..)))
+        Some((header, rest))
     }
 }
--- a/src/core/flow/steer.rs
+++ b/src/core/flow/steer.rs
@@ -23,8 +23,11 @@
                 rank, //
             },
             relay::{
+                MAX_PATH,
+                Path,
                 RelayHeader,
-                RelayKind, //
+                RelayKind,
+                tag, //
             },
             reply,
             service::ServiceFlows,
@@ -39,9 +42,6 @@
     kernel::clock::Millis,
 };
 
-/// The most VMs that one packet passes.
-const MAX_HOPS: u8 = 16;
-
 /// How long after a pause packets arrive that were sent before it. A SYN among
 /// them may belong to a flow that was opened through another VM since.
 const STALE_TIME: Millis = Millis(500);
@@ -62,17 +62,15 @@
     bucket: usize,
     syn: bool,
     closing: bool,
-    hop: u8,
-    /// The hash of the VM that the fabric handed the packet to.
-    asker: u64,
+    /// The VMs that the packet has visited before this one.
+    path: Path,
     packet: Bytes,
 }
 
 impl Flows {
     /// Steers a packet of the fabric.
     pub(super) fn steer(&mut self, cx: &mut Cx<'_>, packet: Bytes) {
-        let asker = cx.view.me.id.hash64();
-        let Some(job) = self.read(cx, packet, 0, asker) else {
+        let Some(job) = self.read(cx, packet, Path::new()) else {
             return;
         };
         if job.syn && self.stability.since_pause(cx.now) < STALE_TIME {
@@ -96,7 +94,7 @@
             cx.count(Counter::PacketMalformed);
             return;
         };
-        let Some(job) = self.read(cx, packet, header.hop, header.asker) else {
+        let Some(job) = self.read(cx, packet, header.path) else {
             return;
         };
         match header.kind {
@@ -106,7 +104,7 @@
         }
     }
 
-    fn read(&self, cx: &mut Cx<'_>, packet: Bytes, hop: u8, asker: u64) -> Option<Job> {
+    fn read(&self, cx: &mut Cx<'_>, packet: Bytes, path: Path) -> Option<Job> {
         let Some(parsed) = Packet::parse(&packet) else {
             cx.count(Counter::PacketMalformed);
             return None;
@@ -123,8 +121,7 @@
             bucket: bucket_of(flow),
             syn: parsed.syn,
             closing: parsed.closing,
-            hop,
-            asker,
+            path,
             packet,
         })
     }
@@ -154,7 +151,7 @@
             first => first.filter(|id| *id != me),
         };
         if let Some(home) = home {
-            self.relay(cx, &job, home, kind, 0);
+            relay(cx, &job, home, kind, 0);
             return;
         }
         match kind {
@@ -241,12 +238,12 @@
             return;
         }
         cx.count(Counter::FlowOpened);
-        if service.is_off_base(job.flow, target) {
+        // Another VM may have recorded an attempt that did not get through.
+        let may_be_recorded = self.entries.remove(job.flow) || !self.is_sure(cx, &job);
+        if may_be_recorded || self.services[job.service].is_off_base(job.flow, target) {
             cx.count(Counter::FlowPinned);
             self.pin(cx, &job, target);
             self.mirror(cx, job, target);
-        } else if self.entries.remove(job.flow) {
-            self.mirror(cx, job, target);
         } else {
             self.forward(cx, job, target);
         }
@@ -282,11 +279,7 @@
             cx.count(Counter::FlowRefused);
             return;
         };
-        if service.is_off_base(job.flow, target) {
-            self.pin(cx, &job, target);
-        } else {
-            self.entries.remove(job.flow);
-        }
+        self.pin(cx, &job, target);
         self.forward(cx, job, target);
     }
 
@@ -309,19 +302,20 @@
         };
         let service = &self.services[job.service];
         let backend = service.targets[usize::from(target)].hash;
-        relay(cx, &job, other, RelayKind::Record, job.hop, backend);
+        relay(cx, &job, other, RelayKind::Record, backend);
     }
 
     /// Relays the packet to the VM that is asked after this one. Returns the
     /// packet if there is none.
     fn pass_on(&mut self, cx: &mut Cx<'_>, job: Job, kind: RelayKind) -> Option<Job> {
-        let mut ranking = self.ranking(cx, &job);
-        ranking.retain(|id| id.hash64() != job.asker);
-        let me = ranking.iter().position(|id| *id == cx.view.me.id);
-        let next = me.map_or(usize::from(job.hop), |at| at + 1);
-        match ranking.get(next) {
-            Some(next) if job.hop < MAX_HOPS => {
-                self.relay(cx, &job, next, kind, job.hop + 1);
+        let me = &cx.view.me.id;
+        let ranking = self.ranking(cx, &job);
+        let next = ranking
+            .iter()
+            .find(|id| *id != me && !job.path.contains(&tag(id)));
+        match next {
+            Some(next) if job.path.len() < MAX_PATH => {
+                relay(cx, &job, next, kind, 0);
                 None
             }
             _ => Some(job),
@@ -342,11 +336,10 @@
         ranking
     }
 
-    fn relay(&self, cx: &mut Cx<'_>, job: &Job, to: &VmId, kind: RelayKind, hop: u8) {
-        relay(cx, job, to, kind, hop, 0);
-    }
-
     fn answer_asker(&mut self, cx: &mut Cx<'_>, job: &Job, target: u16) {
+        let Some(asker) = job.path.first() else {
+            return;
+        };
         if target == NO_TARGET {
             return;
         }
@@ -355,7 +348,7 @@
             target,
             flow: job.flow,
         };
-        self.answer(cx, job.asker, place);
+        self.answer(cx, *asker, place);
     }
 
     fn forward_base(&mut self, cx: &mut Cx<'_>, job: Job) {
@@ -400,12 +393,13 @@
     }
 }
 
-fn relay(cx: &mut Cx<'_>, job: &Job, to: &VmId, kind: RelayKind, hop: u8, backend: u64) {
+fn relay(cx: &mut Cx<'_>, job: &Job, to: &VmId, kind: RelayKind, backend: u64) {
+    let mut path = job.path.clone();
+    path.push(tag(&cx.view.me.id));
     let header = RelayHeader {
         kind,
-        hop,
-        asker: job.asker,
         backend,
+        path,
     };
     cx.count(Counter::PacketRelayed);
     cx.act(Action::Relay {
--- a/src/core/flow/sync.rs
+++ b/src/core/flow/sync.rs
@@ -54,6 +54,9 @@
 pub struct PinFetch {
     /// The service, among the services of this VM.
     service: usize,
+    number: u32,
+    /// The part that has to come next.
+    next_part: u32,
     /// Who is asked now.
     asked: VmId,
     /// Who is asked next, last one first.
@@ -65,17 +68,32 @@
 #[derive(Debug)]
 struct Transfer {
     to: VmId,
-    service: usize,
+    number: u32,
+    next_part: u32,
     places: Vec<Place>,
     complete: BucketSet,
 }
 
+/// A part of the pins that were asked for.
+#[derive(Debug)]
+pub struct PinsAnswer<'a> {
+    /// The question.
+    pub number: u32,
+    /// Counts the parts of the answer.
+    pub part: u32,
+    /// Some of the pins.
+    pub pins: &'a [Pins],
+    /// Set in the last part: the buckets all of whose pins the sender has.
+    pub complete: Option<BucketSet>,
+}
+
 /// The transfers to and from this VM.
 #[derive(Debug, Default)]
 pub struct PinSync {
     fetches: Vec<PinFetch>,
     transfers: VecDeque<Transfer>,
-    next_part: Time,
+    next_send: Time,
+    last_number: u32,
     /// What the duties were last computed from.
     reviewed: Option<Reviewed>,
 }
@@ -157,6 +175,8 @@
         left.reverse();
         self.sync.fetches.push(PinFetch {
             service: at,
+            number: 0,
+            next_part: 0,
             asked: me,
             left,
             deadline: cx.now,
@@ -177,7 +197,11 @@
         };
         open.deadline = cx.now + PART_TIMEOUT;
         open.asked = next.clone();
+        self.sync.last_number += 1;
+        open.number = self.sync.last_number;
+        open.next_part = 0;
         let msg = FlowMessage::PinsWanted {
+            number: open.number,
             service: service.id.clone(),
             buckets: service.wanted.clone(),
         };
@@ -189,6 +213,7 @@
         &mut self,
         cx: &mut Cx<'_>,
         from: &VmId,
+        number: u32,
         service: &ServiceId,
         buckets: &BucketSet,
     ) {
@@ -205,7 +230,8 @@
         };
         self.sync.transfers.push_back(Transfer {
             to: from.clone(),
-            service: at,
+            number,
+            next_part: 0,
             places: self.pins_of(at, buckets),
             complete,
         });
@@ -217,7 +243,8 @@
             .entries
             .iter()
             .filter(|(flow, e)| usize::from(e.service) == at && buckets.contains(bucket_of(*flow)))
-            .filter(|(flow, e)| !e.closed && service.is_off_base(*flow, e.target))
+            .filter(|(_, e)| !e.closed)
+            .filter(|(flow, e)| e.kind == EntryKind::Pin || service.is_off_base(*flow, e.target))
             .map(|(flow, e)| Place {
                 service: at as u16,
                 target: e.target,
@@ -229,22 +256,24 @@
     }
 
     fn send_part(&mut self, cx: &mut Cx<'_>) {
-        if cx.now < self.sync.next_part {
+        if cx.now < self.sync.next_send {
             return;
         }
         let Some(transfer) = self.sync.transfers.front_mut() else {
             return;
         };
-        self.sync.next_part = cx.now + PART_INTERVAL;
+        self.sync.next_send = cx.now + PART_INTERVAL;
         let rest = transfer.places.len().saturating_sub(PART_FLOWS);
         let part = transfer.places.split_off(rest);
         let complete = (rest == 0).then(|| transfer.complete.clone());
         let to = transfer.to.clone();
         let msg = FlowMessage::PinsPart {
-            service: self.services[transfer.service].id.clone(),
+            number: transfer.number,
+            part: transfer.next_part,
             pins: group(&self.services, part),
             complete,
         };
+        transfer.next_part += 1;
         cx.send(&to, msg);
         if rest == 0 {
             self.sync.transfers.pop_front();
@@ -252,31 +281,33 @@
     }
 
     /// Takes in a part of the pins that were asked for.
-    pub(super) fn on_pins_part(
-        &mut self,
-        cx: &mut Cx<'_>,
-        from: &VmId,
-        service: &ServiceId,
-        pins: &[Pins],
-        complete: Option<BucketSet>,
-    ) {
-        for pins in pins {
+    pub(super) fn on_pins_part(&mut self, cx: &mut Cx<'_>, answer: PinsAnswer<'_>) {
+        for pins in answer.pins {
             self.store(cx, pins, EntryKind::Pin);
         }
-        let Some(at) = self.service_named(service) else {
+        let open = |f: &PinFetch| f.number == answer.number;
+        let Some(at) = self.sync.fetches.iter().position(open) else {
             return;
         };
-        let open = |f: &PinFetch| f.service == at && f.asked == *from;
-        let Some(fetch) = self.sync.fetches.iter().position(open) else {
+        let fetch = &mut self.sync.fetches[at];
+        if answer.part < fetch.next_part {
             return;
-        };
-        self.sync.fetches[fetch].deadline = cx.now + PART_TIMEOUT;
-        let Some(complete) = complete else {
+        }
+        if answer.part > fetch.next_part {
+            // A part was lost, so the same VM is asked again.
+            fetch.left.push(fetch.asked.clone());
+            self.ask_next(cx, at);
+            return;
+        }
+        fetch.next_part += 1;
+        fetch.deadline = cx.now + PART_TIMEOUT;
+        let service = &mut self.services[fetch.service];
+        let Some(complete) = answer.complete else {
             return;
         };
-        let had = complete.intersection(&self.services[at].wanted);
-        self.services[at].complete.union(&had);
-        self.services[at].wanted.subtract(&had);
-        self.ask_next(cx, fetch);
+        let had = complete.intersection(&service.wanted);
+        service.complete.union(&had);
+        service.wanted.subtract(&had);
+        self.ask_next(cx, at);
     }
 }
--- a/testkit/src/flow_load.rs
+++ b/testkit/src/flow_load.rs
@@ -44,9 +44,6 @@
 /// How long a caller waits before it repeats a packet that opens a flow.
 const SYN_TIMEOUT: Millis = Millis(1_000);
 
-/// The longest time between two packets of a flow.
-const MAX_PAUSE: u64 = 600;
-
 /// What a caller believes about its flow.
 #[derive(Clone, Copy, Debug)]
 struct Flow {
@@ -84,6 +81,8 @@
     pub opened_per_second: u32,
     /// How long a flow lives.
     pub lifetime: Millis,
+    /// The longest time between two packets of a flow.
+    pub max_pause: Millis,
     service: usize,
     flows: Vec<Flow>,
     rng: SmallRng,
@@ -108,6 +107,7 @@
             entries: (0..fleet.nodes.len()).collect(),
             opened_per_second: 50,
             lifetime: Millis::from_secs(3_600),
+            max_pause: Millis(600),
             service: 0,
             flows: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -183,7 +183,10 @@
             let (kind, pause) = match flow.backend {
                 None => (Kind::Syn, SYN_TIMEOUT),
                 Some(_) if flow.ends <= fleet.now => (Kind::Fin, STEP),
-                Some(_) => (Kind::Data, Millis(self.rng.random_range(20..MAX_PAUSE))),
+                Some(_) => (
+                    Kind::Data,
+                    Millis(self.rng.random_range(20..self.max_pause.0)),
+                ),
             };
             self.flows[at].ended = kind == Kind::Fin;
             self.flows[at].next_packet = fleet.now + pause;
--- a/tests/flow_changes.rs
+++ b/tests/flow_changes.rs
@@ -133,6 +133,20 @@
     });
 }
 
+#[test]
+fn announcements_lost() {
+    expect_none_broken(|fleet, load| {
+        load.max_pause = Millis(100);
+        fleet.links.loss = 0.4;
+        for backend in 0..6 {
+            load.set_state(fleet, backend, BackendState::Draining);
+            load.run_for(fleet, Millis::from_secs(3));
+        }
+        fleet.links.loss = 0.0;
+        load.run_for(fleet, Millis::from_secs(4));
+    });
+}
+
 #[test]
 fn data_centre_out_and_returned() {
     for seed in SEEDS {
--- a/tests/flow_failures.rs
+++ b/tests/flow_failures.rs
@@ -126,6 +126,35 @@
     });
 }
 
+#[test]
+fn silent_flows_while_every_vm_is_replaced() {
+    const CACHES_EXPIRED: Millis = Millis::from_secs(70);
+    expect_none_broken(|fleet, _load| {
+        fleet.run_for(CACHES_EXPIRED);
+        for vm in 0..6 {
+            fleet.kill(vm);
+            fleet.run_for(Millis::from_secs(2));
+            fleet.start(vm);
+            fleet.run_for(REFILL);
+        }
+    });
+}
+
+#[test]
+fn vms_replaced_while_heartbeats_are_lost() {
+    expect_none_broken(|fleet, load| {
+        fleet.links.loss = 0.3;
+        for vm in [1, 4] {
+            fleet.kill(vm);
+            load.run_for(fleet, Millis::from_secs(2));
+            fleet.start(vm);
+            load.run_for(fleet, REFILL);
+        }
+        fleet.links.loss = 0.0;
+        load.run_for(fleet, Millis::from_secs(8));
+    });
+}
+
 #[test]
 fn every_vm_stopped_and_replaced_one_by_one() {
     expect_none_broken(|fleet, load| {
