--- a/src/core/capacity/book.rs
+++ b/src/core/capacity/book.rs
@@ -15,7 +15,10 @@
                 RunBounds, //
             },
         },
-        names::VmId,
+        names::{
+            Incarnation,
+            VmId, //
+        },
     },
     kernel::clock::{
         Millis,
@@ -49,6 +52,25 @@
     pub ask: AskId,
 }
 
+/// The loans that one run of a VM says it holds.
+#[derive(Debug)]
+pub struct Holding<'a> {
+    /// The VM.
+    pub vm: &'a VmId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The highest loan that it has received.
+    pub received: LeaseId,
+    /// The loans.
+    pub loans: &'a [HeldLoan],
+}
+
+impl Holding<'_> {
+    fn is_of(&self, borrower: &Borrower) -> bool {
+        borrower.vm == *self.vm && borrower.ask.run() == self.incarnation
+    }
+}
+
 /// The right to run one request at a time on a backend server.
 #[derive(Clone, Debug)]
 pub struct Lease {
@@ -221,19 +243,19 @@
         self.queue.retain(|q| now.since(q.since) < QUEUE_TIME);
     }
 
-    /// Takes in the list of all loans that `vm` holds up to `received`.
-    pub fn reconcile(&mut self, now: Time, vm: &VmId, received: LeaseId, loans: &[HeldLoan]) {
+    /// Takes in the list of all loans that a run of another VM holds.
+    pub fn reconcile(&mut self, now: Time, held: &Holding<'_>) {
         self.leases.retain_mut(|lease| {
-            if lease.borrower.as_ref().is_none_or(|b| b.vm != *vm) {
+            if !lease.borrower.as_ref().is_some_and(|b| held.is_of(b)) {
                 return true;
             }
-            match loans.iter().find(|l| l.id == lease.id) {
+            match held.loans.iter().find(|l| l.id == lease.id) {
                 Some(loan) => {
                     lease.listed = now;
                     lease.bound = loan.bound.map(|bound| now + bound);
                     true
                 }
-                None => lease.id > received,
+                None => lease.id > held.received,
             }
         });
     }
--- a/src/core/capacity/loans.rs
+++ b/src/core/capacity/loans.rs
@@ -111,6 +111,10 @@
 pub struct Loans {
     next_ask: u64,
     asks: BTreeMap<AskId, Ask>,
+    /// Invariant: the number of `asks` of each service that has any.
+    pending: BTreeMap<ServiceId, u32>,
+    /// Invariant: the number of `asks` of each backend server that has any.
+    pending_at: BTreeMap<BackendId, u32>,
     loans: BTreeMap<LoanKey, Loan>,
     lenders: BTreeMap<VmId, Lender>,
     next_holding: Time,
@@ -119,14 +123,12 @@
 impl Loans {
     /// Returns how many asks for `service` wait for an answer.
     pub fn pending(&self, service: &ServiceId) -> u32 {
-        let asks = self.asks.values().filter(|a| a.service == *service);
-        asks.count() as u32
+        self.pending.get(service).copied().unwrap_or(0)
     }
 
     /// Returns how many asks for `backend` wait for an answer.
     pub fn pending_at(&self, backend: &BackendId) -> u32 {
-        let asks = self.asks.values().filter(|a| a.backend == *backend);
-        asks.count() as u32
+        self.pending_at.get(backend).copied().unwrap_or(0)
     }
 
     /// Returns the loans on which a request can start.
@@ -153,9 +155,18 @@
             tries: 1,
         };
         send_ask(cx, id, &ask);
+        *self.pending.entry(service.clone()).or_default() += 1;
+        *self.pending_at.entry(backend.clone()).or_default() += 1;
         self.asks.insert(id, ask);
     }
 
+    fn remove_ask(&mut self, id: AskId) -> Option<Ask> {
+        let ask = self.asks.remove(&id)?;
+        subtract_one(&mut self.pending, &ask.service);
+        subtract_one(&mut self.pending_at, &ask.backend);
+        Some(ask)
+    }
+
     /// Takes in a loan. Returns the ask that it answers, if it is still wanted.
     pub fn on_lend(
         &mut self,
@@ -177,7 +188,7 @@
         lender.received = lender.received.max(id);
         lender.empty_lists = 0;
         let is_freed = id <= lender.listed;
-        let asked = self.asks.remove(&ask).filter(|_| !is_freed);
+        let asked = self.remove_ask(ask).filter(|_| !is_freed);
         let Some(asked) = asked else {
             let reports = Reports::new();
             cx.send(from, CapacityMessage::Return { id, reports });
@@ -196,7 +207,7 @@
 
     /// Takes in that an ask was refused. Returns the ask.
     pub fn on_deny(&mut self, ask: AskId) -> Option<Ask> {
-        self.asks.remove(&ask)
+        self.remove_ask(ask)
     }
 
     /// Starts a request on the loan `key`.
@@ -265,7 +276,7 @@
             .filter(|(_, ask)| is_over(ask))
             .map(|(id, _)| *id)
             .collect();
-        over.iter().filter_map(|id| self.asks.remove(id)).collect()
+        over.iter().filter_map(|id| self.remove_ask(*id)).collect()
     }
 
     fn return_surplus(&mut self, cx: &mut Cx<'_>) {
@@ -304,12 +315,26 @@
             lender.listed = lender.received;
             if lender.empty_lists <= EMPTY_LISTS {
                 let received = lender.received;
-                cx.send(vm, CapacityMessage::Holding { received, loans });
+                let msg = CapacityMessage::Holding {
+                    incarnation: cx.view.me.incarnation,
+                    received,
+                    loans,
+                };
+                cx.send(vm, msg);
             }
         }
     }
 }
 
+fn subtract_one<K: Ord>(counts: &mut BTreeMap<K, u32>, key: &K) {
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(key);
+        }
+    }
+}
+
 fn held_loans(loans: &BTreeMap<LoanKey, Loan>, now: Time, lender: &VmId) -> Vec<HeldLoan> {
     loans
         .iter()
--- a/src/core/capacity/message.rs
+++ b/src/core/capacity/message.rs
@@ -8,7 +8,10 @@
 
 use crate::{
     core::{
-        capacity::SlotReport,
+        capacity::{
+            RUN_BITS,
+            SlotReport, //
+        },
         names::{
             BackendId,
             Incarnation, //
@@ -26,6 +29,13 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct AskId(pub u64);
 
+impl AskId {
+    /// Returns the run of the borrower that asked.
+    pub fn run(self) -> Incarnation {
+        Incarnation(self.0 >> RUN_BITS)
+    }
+}
+
 /// Identifies a lease on one slot at the VM that grants it.
 ///
 /// Invariant: grows over all runs of that VM.
@@ -157,8 +167,11 @@
         /// How the requests that used it ended.
         reports: Reports,
     },
-    /// Lists all loans that the sender holds of the receiver.
+    /// Lists all loans that the sender's run holds of the receiver. It says
+    /// nothing about loans to earlier runs.
     Holding {
+        /// The sender's run.
+        incarnation: Incarnation,
         /// The highest loan that the sender has received.
         ///
         /// Invariant: the sender never uses a loan up to this one that is not
--- a/src/core/capacity/mod.rs
+++ b/src/core/capacity/mod.rs
@@ -21,6 +21,7 @@
 
 pub use self::message::CapacityMessage;
 use self::{
+    book::Holding,
     loans::{
         LoanKey,
         Loans, //
@@ -151,6 +152,15 @@
     }
 }
 
+/// The failed acquisitions of one service since the last event after which all
+/// waiting requests try again.
+#[derive(Clone, Copy, Debug, Default)]
+struct Waiting {
+    count: u32,
+    /// Whether no slot of any backend server was known to be free.
+    is_exhausted: bool,
+}
+
 /// The capacity state machine.
 #[derive(Debug, Default)]
 pub struct Capacity {
@@ -160,9 +170,7 @@
     known: BTreeMap<BackendId, Known>,
     /// The slots in use.
     used: BTreeMap<SlotId, Source>,
-    /// The failed acquisitions since the last event after which all waiting
-    /// requests try again.
-    waiting: BTreeMap<ServiceId, u32>,
+    waiting: BTreeMap<ServiceId, Waiting>,
 }
 
 impl Capacity {
@@ -262,8 +270,18 @@
             CapacityMessage::Return { id, reports } => {
                 self.owner.on_return(cx, from, id, &reports);
             }
-            CapacityMessage::Holding { received, loans } => {
-                self.owner.on_holding(cx.now, from, received, &loans);
+            CapacityMessage::Holding {
+                incarnation,
+                received,
+                loans,
+            } => {
+                let held = Holding {
+                    vm: from,
+                    incarnation,
+                    received,
+                    loans: &loans,
+                };
+                self.owner.on_holding(cx.now, &held);
             }
             CapacityMessage::Recall { backend } => self.loans.on_recall(cx, from, &backend),
         }
--- a/src/core/capacity/owner.rs
+++ b/src/core/capacity/owner.rs
@@ -13,6 +13,7 @@
             book::{
                 Book,
                 Borrower,
+                Holding,
                 LOAN_SPAN, //
             },
             message::{
@@ -20,7 +21,6 @@
                 CapacityMessage,
                 Claim,
                 ClaimState,
-                HeldLoan,
                 LeaseId,
                 Load,
                 RunBounds, //
@@ -138,7 +138,7 @@
         if self.lend(cx, &borrower, backend) {
             return;
         }
-        let load = self.load(cx, backend);
+        let load = self.load_of(cx, backend);
         let book = self.books.get_mut(backend).filter(|_| load.open > 0);
         if let Some(book) = book
             && book.enqueue(cx.now, borrower)
@@ -168,27 +168,31 @@
     }
 
     /// Takes in the list of all loans that another VM holds.
-    pub fn on_holding(&mut self, now: Time, from: &VmId, received: LeaseId, loans: &[HeldLoan]) {
+    pub fn on_holding(&mut self, now: Time, held: &Holding<'_>) {
         for book in self.books.values_mut() {
-            book.reconcile(now, from, received, loans);
+            book.reconcile(now, held);
         }
     }
 
     /// Returns the load of `backend`. Nothing is open if this VM does not own
     /// it.
-    pub fn load(&self, cx: &Cx<'_>, backend: &BackendId) -> Load {
-        let Some(book) = self.books.get(backend) else {
+    pub fn load(&self, cx: &Cx<'_>, backend: &Backend) -> Load {
+        let Some(book) = self.books.get(&backend.name) else {
             return Load::default();
         };
-        let foreign = self.ownership.foreign_runs(cx.now, backend);
-        let limit = cx.cfg.backend(backend).map_or(0, |b| open_slots(cx, b));
-        book.load(cx.now, limit, foreign)
+        let foreign = self.ownership.foreign_runs(cx.now, &backend.name);
+        book.load(cx.now, open_slots(cx, backend), foreign)
+    }
+
+    fn load_of(&self, cx: &Cx<'_>, backend: &BackendId) -> Load {
+        let backend = cx.cfg.backend(backend);
+        backend.map_or_else(Load::default, |b| self.load(cx, b))
     }
 
     /// Grants this VM itself a lease. Returns it with the end of the right to
     /// start a request.
     pub fn grant_own(&mut self, cx: &Cx<'_>, backend: &BackendId) -> Option<(LeaseId, Time)> {
-        let load = self.load(cx, backend);
+        let load = self.load_of(cx, backend);
         let until = self.ownership.lease_end(cx, backend, true)?;
         if load.leased >= load.open {
             return None;
@@ -223,7 +227,7 @@
             ask: borrower.ask,
             id,
             span,
-            load: self.load(cx, backend),
+            load: self.load_of(cx, backend),
         };
         cx.send(&borrower.vm, msg);
         true
@@ -238,7 +242,7 @@
         if let Some(lease) = self.books.get(backend)?.lease_for(borrower) {
             return Some((lease.id, lease.until.since(lease.granted)));
         }
-        let load = self.load(cx, backend);
+        let load = self.load_of(cx, backend);
         let end = self.ownership.lease_end(cx, backend, true)?;
         let until = end.min(cx.now + LOAN_SPAN);
         let span = until.since(cx.now);
@@ -262,7 +266,7 @@
 
     fn serve_queue(&mut self, cx: &mut Cx<'_>, backend: &BackendId) {
         loop {
-            let load = self.load(cx, backend);
+            let load = self.load_of(cx, backend);
             if load.leased >= load.open {
                 return;
             }
@@ -411,7 +415,7 @@
     }
 
     fn claim(&self, cx: &Cx<'_>, id: &BackendId, book: &Book, state: ClaimState) -> Claim {
-        let load = self.load(cx, id);
+        let load = self.load_of(cx, id);
         let running: RunBounds = book.run_bounds(cx.now);
         let is_released = state == ClaimState::Released;
         Claim {
--- a/src/core/capacity/select.rs
+++ b/src/core/capacity/select.rs
@@ -74,6 +74,9 @@
         service: &ServiceId,
         tried: &[BackendId],
     ) -> Result<Slot, NoSlot> {
+        if self.is_turned_away(service) {
+            return Err(NoSlot::Asked);
+        }
         let cfg = cx.cfg;
         let eligible: Eligible<'_> = cfg
             .backends_of(service)
@@ -96,6 +99,10 @@
         {
             return Ok(slot);
         }
+        if best.is_none() && tried.is_empty() {
+            let waiting = self.waiting.entry(service.clone()).or_default();
+            waiting.is_exhausted = true;
+        }
         self.ask_for_slot(cx, service, &eligible, best)
     }
 
@@ -144,7 +151,7 @@
     }
 
     fn candidate<'a>(&self, cx: &Cx<'_>, backend: &'a Backend) -> Option<Candidate<'a>> {
-        let own = self.owner.load(cx, &backend.name);
+        let own = self.owner.load(cx, backend);
         if own.leased < own.open {
             return Some(Candidate {
                 backend,
@@ -281,11 +288,23 @@
         Some((Time(0), owner.clone()))
     }
 
+    /// Tells whether nothing is free since the last event and enough slots
+    /// have been asked for. Counts the failed acquisition if so.
+    fn is_turned_away(&mut self, service: &ServiceId) -> bool {
+        let pending = self.loans.pending(service);
+        let Some(waiting) = self.waiting.get_mut(service) else {
+            return false;
+        };
+        let is_turned_away = waiting.is_exhausted && waiting.count < pending;
+        waiting.count += u32::from(is_turned_away);
+        is_turned_away
+    }
+
     /// Counts a failed acquisition. Returns how many requests wait for a slot.
     fn count_waiting(&mut self, service: &ServiceId) -> u32 {
         let waiting = self.waiting.entry(service.clone()).or_default();
-        *waiting += 1;
-        *waiting
+        waiting.count += 1;
+        waiting.count
     }
 }
 
--- a/testkit/src/slots.rs
+++ b/testkit/src/slots.rs
@@ -335,6 +335,11 @@
         }
     }
 
+    /// Tells whether the VM `at` takes requests.
+    pub fn is_serving(&self, at: usize) -> bool {
+        self.vms[at].is_alive && self.vms[at].frozen_until.is_none()
+    }
+
     /// Returns the VMs that own `backend` now.
     pub fn owners(&self, backend: &BackendId) -> Vec<usize> {
         let owns = |vm: &SlotVm| vm.is_alive && vm.capacity.owned().any(|b| b == backend);
@@ -376,8 +381,11 @@
             }
             self.run_until(Time(next as u64));
             let live: Vec<_> = (0..self.vms.len())
-                .filter(|at| self.vms[*at].is_alive && self.vms[*at].frozen_until.is_none())
+                .filter(|at| self.is_serving(*at))
                 .collect();
+            if live.is_empty() {
+                continue;
+            }
             let at = live[self.rng.random_range(0..live.len())];
             let jitter = self.rng.random_range(0.5..1.5);
             let service_time = Millis((service_time.0 as f64 * jitter) as u64);
