--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -19,6 +19,7 @@
         },
         cx::Cx,
         flow::{
+            FlowStats,
             Flows,
             PacketSource, //
         },
@@ -107,10 +108,11 @@
     /// Starts the state machines of the VM `me`. All random numbers come from
     /// `seed`.
     pub fn open(me: Vm, seeds: Vec<Seed>, seed: u64, now: Time) -> Engine {
+        let known = seeds.iter().map(|s| s.id.clone()).collect();
         Engine {
             machines: Machines {
                 membership: Membership::open(me, seeds, now),
-                intents: Intents::open(),
+                intents: Intents::open(known),
                 flows: Flows::open(),
                 capacity: Capacity::open(),
                 requests: Requests::open(),
@@ -152,6 +154,11 @@
         self.machines.intents.current()
     }
 
+    /// Returns the size of the flow state.
+    pub fn flow_stats(&self) -> FlowStats {
+        self.machines.flows.stats()
+    }
+
     /// Returns the counts of this process.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -164,7 +171,7 @@
 
     /// Tells whether nothing is left to do before the process may exit.
     pub fn is_idle(&self) -> bool {
-        self.machines.requests.in_flight() == 0
+        self.machines.requests.in_flight() == 0 && self.machines.flows.is_idle()
     }
 
     fn spread_changes(
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -27,7 +27,8 @@
             PlatformCall,
             PlatformCallId,
             PlatformOp,
-            PlatformOutcome, //
+            PlatformOutcome,
+            platform::ANSWER_TIMEOUT, //
         },
         membership::{
             Seed,
@@ -249,23 +250,10 @@
 
     /// Adds a backend server that is warm and runs.
     pub fn add_backend(&mut self, backend: &dragonflytrack::core::configuration::Backend) {
-        const SERVICE_TIME: Millis = Millis(50);
         let at = self.backends.len();
         self.by_packets.insert(backend.packets, at);
         self.by_requests.insert(backend.requests, at);
-        self.backends.push(FakeBackend {
-            name: backend.name.clone(),
-            packets: backend.packets,
-            requests: backend.requests,
-            alive: true,
-            allowance: backend.slots,
-            service_time: SERVICE_TIME,
-            running: 0,
-            most_offered: 0,
-            runs: Vec::new(),
-            flows: std::collections::HashSet::new(),
-            strange_packets: 0,
-        });
+        self.backends.push(FakeBackend::warm(backend));
     }
 
     fn add_vm(&mut self, data_centre: &DataCentreId) {
@@ -427,8 +415,9 @@
             Arrival::Packet(to, packet) => self.packet_at_backend(to, &packet),
             Arrival::Request(at, run, attempt) => self.request_at_backend(at, run, &attempt),
             Arrival::Finished(backend, at, run, id, outcome) => {
-                self.backends[backend].finish();
-                self.answer_attempt(backend, at, run, id, outcome);
+                if let Some(seen) = self.backends[backend].finish(outcome) {
+                    self.answer_attempt(backend, at, run, id, seen);
+                }
             }
             Arrival::Platform(at, run, call) => self.call_at_platform(at, run, call),
             Arrival::PlatformAnswer(at, run, id, outcome) => {
@@ -577,13 +566,12 @@
     }
 
     fn send_platform(&mut self, at: usize, run: Incarnation, call: PlatformCall) {
-        const NO_ANSWER_AFTER: Millis = Millis::from_secs(5);
         let watch_time = match &call.op {
             PlatformOp::Watch { timeout, .. } => *timeout,
             _ => Millis(0),
         };
         let no_answer = Arrival::PlatformAnswer(at, run, call.id, PlatformOutcome::NoAnswer);
-        self.schedule(Millis(watch_time.0 + NO_ANSWER_AFTER.0), no_answer);
+        self.schedule(Millis(watch_time.0 + ANSWER_TIMEOUT.0), no_answer);
         if let Some(delay) = self.copies(at, PLATFORM).first().copied() {
             self.schedule(delay, Arrival::Platform(at, run, call));
         }
@@ -596,7 +584,9 @@
         }
         match self.platform.carry_out(&call.op) {
             Some(outcome) => {
-                self.answer_platform(at, run, call.id, outcome);
+                if !self.platform.loses_answer(&call.op) {
+                    self.answer_platform(at, run, call.id, outcome);
+                }
                 self.wake_watches();
             }
             None => {
@@ -619,7 +609,7 @@
         let slowness = match self.platform.weather {
             Weather::Slow(span) => span,
             Weather::AnswersLost | Weather::Down => return,
-            Weather::Fair => Millis(0),
+            Weather::Fair | Weather::DownAfterWrite => Millis(0),
         };
         let to = self.nodes[at].vm.id.to_string();
         let copies = self.links.copies(&mut self.rng, PLATFORM, &to);
