--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -95,7 +95,7 @@
         relay: settings.relay,
     };
     EngineService::spawn(me, settings.seeds.clone(), clock, &registry);
-    Backends::spawn(&registry).map_err(io::Error::other)?;
+    Backends::spawn(clock, &registry).map_err(io::Error::other)?;
     Platform::spawn(settings.platform, &registry).map_err(io::Error::other)?;
     Peers::bind(settings.peers, &registry)?;
     Fabric::bind(settings.fabric, settings.relay, settings.replies, &registry).await?;
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -6,13 +6,17 @@
 //! all random numbers come from one seed.
 
 pub mod backend;
+pub mod caller;
+pub mod cold;
 pub mod fleet;
 pub mod flow_load;
+pub mod history;
 pub mod links;
 pub mod packet;
 pub mod platform;
 pub mod process;
 pub mod sample;
+pub mod slots;
 
 pub use backend::FakeBackend;
 pub use fleet::Fleet;
--- a/testkit/src/process/system.rs
+++ b/testkit/src/process/system.rs
@@ -288,7 +288,7 @@
         let body = serde_json::to_string(&self.cfg).expect("a configuration is JSON");
         wait_until("the platform starts", START_LIMIT, || {
             let path = "/v1/objects/configurations/current";
-            let headers = [("content-type", "application/json"), ("if-match", "0")];
+            let headers = [("content-type", "application/json"), ("if-none-match", "*")];
             http::send(self.platform, "PUT", path, &headers, &body).is_ok_and(|r| r.status == 200)
         });
     }
