Tell all VMs about new flows of changed buckets while views differ

Cause: with 20 to 30% of all messages lost, VMs rely on different homes for seconds. A home could be sure that a flow was not recorded although another view's homes had recorded it, and the pin of an attempt that did not get through could outlive the flow's real one.

Change: the opener names the homes that record the flow; while its view is not settled it also sends a copy to all other VMs; a VM that is no home keeps such entries as cached answers only.

--- a/src/core/flow/relay.rs
+++ b/src/core/flow/relay.rs
@@ -19,7 +19,7 @@
 /// A short hash of a VM's name.
 pub type VmTag = u32;
 
-/// The VMs that a packet has visited. The first one got it from the fabric.
+/// VMs in the order in which a packet visits them.
 ///
 /// Invariant: at most [`MAX_PATH`], and none of them twice, so that no packet
 /// circles for ever.
@@ -34,6 +34,8 @@
     Open,
     /// Records the given backend server and forwards the packet there.
     Record,
+    /// Records the given backend server and drops the packet.
+    Note,
 }
 
 /// The header of a relayed packet.
@@ -43,8 +45,9 @@
     pub kind: RelayKind,
     /// The hash of the name of the backend server to record, or zero.
     pub backend: u64,
-    /// The VMs that the packet has visited.
-    pub path: Path,
+    /// The VMs that the packet has visited. For [`RelayKind::Record`] those
+    /// that have still to record the flow, for [`RelayKind::Note`] none.
+    pub vms: Path,
 }
 
 /// Returns the tag of the VM called `id`.
@@ -59,13 +62,14 @@
             RelayKind::Lookup => 1,
             RelayKind::Open => 2,
             RelayKind::Record => 3,
+            RelayKind::Note => 4,
         };
-        let len = 2 + size_of::<u64>() + self.path.len() * size_of::<VmTag>();
+        let len = 2 + size_of::<u64>() + self.vms.len() * size_of::<VmTag>();
         let mut buf = BytesMut::with_capacity(len + packet.len());
         buf.put_u8(MAGIC | kind);
-        buf.put_u8(self.path.len() as u8);
+        buf.put_u8(self.vms.len() as u8);
         buf.put_u64(self.backend);
-        for tag in &self.path {
+        for tag in &self.vms {
             buf.put_u32(*tag);
         }
         buf.put_slice(packet);
@@ -80,22 +84,19 @@
             1 => RelayKind::Lookup,
             2 => RelayKind::Open,
             3 => RelayKind::Record,
+            4 => RelayKind::Note,
             _ => return None,
         };
         let len = usize::from(rest.try_get_u8().ok()?);
-        if len == 0 || len > MAX_PATH {
+        if len > MAX_PATH {
             return None;
         }
         let backend = rest.try_get_u64().ok()?;
-        let mut path = Path::new();
+        let mut vms = Path::new();
         for _ in 0..len {
-            path.push(rest.try_get_u32().ok()?);
+            vms.push(rest.try_get_u32().ok()?);
         }
-        let header = RelayHeader {
-            kind,
-            backend,
-            path,
-        };
+        let header = RelayHeader { kind, backend, vms };
         Some((header, rest))
     }
 }
--- a/src/core/flow/steer.rs
+++ b/src/core/flow/steer.rs
@@ -62,7 +62,7 @@
     bucket: usize,
     syn: bool,
     closing: bool,
-    /// The VMs that the packet has visited before this one.
+    /// The VMs of the header that the packet came with.
     path: Path,
     packet: Bytes,
 }
@@ -94,13 +94,14 @@
             cx.count(Counter::PacketMalformed);
             return;
         };
-        let Some(job) = self.read(cx, packet, header.path) else {
+        let Some(job) = self.read(cx, packet, header.vms) else {
             return;
         };
         match header.kind {
             RelayKind::Lookup => self.look_up(cx, job),
             RelayKind::Open => self.open_flow(cx, job),
             RelayKind::Record => self.record(cx, job, header.backend),
+            RelayKind::Note => self.note_flow(cx, &job, header.backend),
         }
     }
 
@@ -151,12 +152,12 @@
             first => first.filter(|id| *id != me),
         };
         if let Some(home) = home {
-            relay(cx, &job, home, kind, 0);
+            relay_visited(cx, &job, home, kind);
             return;
         }
         match kind {
             RelayKind::Open => self.open_flow(cx, job),
-            RelayKind::Lookup | RelayKind::Record => self.look_up(cx, job),
+            _ => self.look_up(cx, job),
         }
     }
 
@@ -280,29 +281,80 @@
             return;
         };
         self.pin(cx, &job, target);
-        self.forward(cx, job, target);
+        let vms = job.path.clone();
+        self.record_further(cx, job, target, vms);
+    }
+
+    /// Records a flow that another VM has placed while views may differ.
+    fn note_flow(&mut self, cx: &mut Cx<'_>, job: &Job, backend: u64) {
+        if let Some(target) = self.services[job.service].target_named(backend) {
+            self.pin(cx, job, target);
+        }
     }
 
     fn pin(&mut self, cx: &mut Cx<'_>, job: &Job, target: u16) {
-        let mut entry = Entry::new(job.service as u16, target, EntryKind::Pin, cx.now);
+        let ranking = self.ranking(cx, job);
+        let is_home = ranking.iter().take(HOMES).any(|id| *id == cx.view.me.id);
+        let kind = if is_home || ranking.is_empty() {
+            EntryKind::Pin
+        } else {
+            EntryKind::Cache
+        };
+        let mut entry = Entry::new(job.service as u16, target, kind, cx.now);
         entry.touch(cx.now, job.closing);
         if self.entries.insert(job.flow, entry).is_err() {
             cx.count(Counter::FlowTableFull);
         }
     }
 
-    /// Lets the other home record the flow and forward the packet.
+    /// Lets the homes record the flow and forward the packet.
     fn mirror(&mut self, cx: &mut Cx<'_>, job: Job, target: u16) {
         let ranking = self.ranking(cx, &job);
-        let me = &cx.view.me.id;
-        let other = ranking.iter().take(HOMES).find(|id| *id != me);
-        let Some(other) = other else {
-            self.forward(cx, job, target);
-            return;
-        };
+        let homes = ranking.iter().take(HOMES);
+        let others = homes.filter(|id| **id != cx.view.me.id);
+        let vms: Path = others.map(tag).collect();
+        if !self.stability.is_settled(cx.now) {
+            self.note_elsewhere(cx, &job, target, &vms);
+        }
+        self.record_further(cx, job, target, vms);
+    }
+
+    /// Tells the VMs that are not among `homes` where a flow lives, since
+    /// other VMs may take them for homes.
+    fn note_elsewhere(&self, cx: &mut Cx<'_>, job: &Job, target: u16, homes: &Path) {
         let service = &self.services[job.service];
-        let backend = service.targets[usize::from(target)].hash;
-        relay(cx, &job, other, RelayKind::Record, backend);
+        let header = RelayHeader {
+            kind: RelayKind::Note,
+            backend: service.targets[usize::from(target)].hash,
+            vms: Path::new(),
+        };
+        let view = cx.view;
+        for member in view.others() {
+            if !homes.contains(&tag(&member.vm.id)) {
+                relay(cx, job, &member.vm.id, &header);
+            }
+        }
+    }
+
+    /// Relays the packet to the first of `vms`, all of which have to record
+    /// the flow, or forwards it if there is none.
+    fn record_further(&mut self, cx: &mut Cx<'_>, job: Job, target: u16, mut vms: Path) {
+        while !vms.is_empty() {
+            let next = vms.remove(0);
+            let view = cx.view;
+            let Some(member) = view.others().find(|m| tag(&m.vm.id) == next) else {
+                continue;
+            };
+            let service = &self.services[job.service];
+            let header = RelayHeader {
+                kind: RelayKind::Record,
+                backend: service.targets[usize::from(target)].hash,
+                vms,
+            };
+            relay(cx, &job, &member.vm.id, &header);
+            return;
+        }
+        self.forward(cx, job, target);
     }
 
     /// Relays the packet to the VM that is asked after this one. Returns the
@@ -315,7 +367,7 @@
             .find(|id| *id != me && !job.path.contains(&tag(id)));
         match next {
             Some(next) if job.path.len() < MAX_PATH => {
-                relay(cx, &job, next, kind, 0);
+                relay_visited(cx, &job, next, kind);
                 None
             }
             _ => Some(job),
@@ -393,14 +445,19 @@
     }
 }
 
-fn relay(cx: &mut Cx<'_>, job: &Job, to: &VmId, kind: RelayKind, backend: u64) {
-    let mut path = job.path.clone();
-    path.push(tag(&cx.view.me.id));
+/// Relays a packet to a VM that it has not visited.
+fn relay_visited(cx: &mut Cx<'_>, job: &Job, to: &VmId, kind: RelayKind) {
+    let mut vms = job.path.clone();
+    vms.push(tag(&cx.view.me.id));
     let header = RelayHeader {
         kind,
-        backend,
-        path,
+        backend: 0,
+        vms,
     };
+    relay(cx, job, to, &header);
+}
+
+fn relay(cx: &mut Cx<'_>, job: &Job, to: &VmId, header: &RelayHeader) {
     cx.count(Counter::PacketRelayed);
     cx.act(Action::Relay {
         to: to.clone(),
