Show each object with its status at the platform

Cause: operators who look at the platform saw one record and could not tell which object was refused. And a VM that cannot know whether it missed a generation restored a record that was lost or unreadable too early.

The first VM of the ranking writes services/NAME, backends/NAME and datacentres/NAME with their status after each generation; the others go on when it dies. A repair waits longer unless heartbeats of all VMs of the settings arrive.

Conclusion: the status of each object can be read at the platform.

--- a/src/core/intent/calls.rs
+++ b/src/core/intent/calls.rs
@@ -39,6 +39,8 @@
     Ramp,
     /// The replacement of a bad record.
     Repair,
+    /// The objects that show the record.
+    Projection,
 }
 
 /// An open call.
--- a/src/core/intent/mod.rs
+++ b/src/core/intent/mod.rs
@@ -7,6 +7,7 @@
 //! - [`change`] turns an intent into the configuration that follows from it.
 //! - [`plan`] shows what that changes and what it puts at risk.
 //! - [`ramp`] returns a data centre step by step.
+//! - [`projection`] shows each object at the platform with its status.
 //! - [`relay`] carries the record between the VMs.
 //! - [`status`] tells operators what is in force where.
 
@@ -31,6 +32,7 @@
 pub mod plan;
 mod planning;
 pub mod platform;
+pub mod projection;
 pub mod ramp;
 mod ranking;
 pub mod reader;
@@ -69,6 +71,7 @@
     Work, //
 };
 use planning::Planning;
+use projection::Projection;
 use ramp::Ramps;
 use reader::Reader;
 use relay::Relay;
@@ -85,6 +88,7 @@
     relay: Relay,
     repair: Repair,
     ramps: Ramps,
+    projection: Projection,
     operations: Operations,
     usage: Usage,
     /// The VMs that the settings name.
@@ -122,6 +126,7 @@
         self.reader.tick(cx, &mut self.calls);
         self.repair.tick(cx, &mut self.calls, &self.in_force);
         self.ramps.tick(cx, &mut self.calls, &self.in_force);
+        self.projection.tick(cx, &mut self.calls, &self.in_force);
         self.operations.tick(cx, &mut self.calls, &self.usage);
         self.relay.tick(cx, &self.in_force);
     }
@@ -152,6 +157,9 @@
                 } = self;
                 ramps.on_outcome(cx, calls, in_force, outcome);
             }
+            Purpose::Projection => {
+                self.projection.on_outcome(cx, &mut self.calls, id, outcome);
+            }
             Purpose::Operation(admin) => {
                 let ids = (admin, id);
                 self.operations
@@ -196,9 +204,10 @@
     fn on_record(&mut self, cx: &mut Cx<'_>, outcome: &PlatformOutcome) {
         match outcome {
             PlatformOutcome::Object(object) => {
-                self.repair.on_object(cx, &mut self.in_force, object);
+                self.repair
+                    .on_object(cx, &mut self.in_force, &self.known, object);
             }
-            PlatformOutcome::Absent => self.repair.on_absent(cx, &self.in_force),
+            PlatformOutcome::Absent => self.repair.on_absent(cx, &self.in_force, &self.known),
             _ => {}
         }
         self.relay.on_applied(cx, &self.in_force);
--- a/src/core/intent/repair.rs
+++ b/src/core/intent/repair.rs
@@ -39,6 +39,7 @@
                 ObjectRef, //
             },
         },
+        membership::MemberState,
         names::{
             Generation,
             VmId, //
@@ -94,23 +95,24 @@
         &mut self,
         cx: &mut Cx<'_>,
         in_force: &mut InForce,
+        known: &[VmId],
         object: &StoredObject,
     ) {
         match judge(cx, in_force, &object.value) {
             Verdict::Good => self.forget(),
             // Reads may be out of date, so this is no fault yet.
-            Verdict::NotAbove => self.plan(cx, in_force, Some(object), Vec::new()),
-            Verdict::Refused(refused) => self.plan(cx, in_force, Some(object), refused),
+            Verdict::NotAbove => self.plan(cx, in_force, known, Some(object), Vec::new()),
+            Verdict::Refused(refused) => self.plan(cx, in_force, known, Some(object), refused),
         }
     }
 
     /// The platform holds no record.
-    pub(super) fn on_absent(&mut self, cx: &mut Cx<'_>, in_force: &InForce) {
+    pub(super) fn on_absent(&mut self, cx: &mut Cx<'_>, in_force: &InForce, known: &[VmId]) {
         if in_force.generation() == Generation::default() {
             return;
         }
         let reason = "there is none, and one is in force; it is written again";
-        self.plan(cx, in_force, None, vec![refused_record(reason)]);
+        self.plan(cx, in_force, known, None, vec![refused_record(reason)]);
     }
 
     /// Writes the replacement when it is due.
@@ -159,6 +161,7 @@
         &mut self,
         cx: &mut Cx<'_>,
         in_force: &InForce,
+        known: &[VmId],
         object: Option<&StoredObject>,
         refused: Vec<RefusedObject>,
     ) {
@@ -171,10 +174,12 @@
             cx.note(Notice::ConfigurationRefused, bad.to_string());
         }
         self.refused = refused;
+        let decoded = object.and_then(|o| Record::from_value(&o.value).ok());
+        let stored = decoded.map(|d| d.record.generation());
         self.pending = Some(Pending {
             version,
             value: object.map(|o| o.value.clone()),
-            due: cx.now + delay(cx, in_force, object),
+            due: cx.now + delay(cx, in_force, known, stored),
         });
     }
 }
@@ -236,20 +241,34 @@
     }
 }
 
-/// A VM that may have missed generations would put an older version of the
-/// bad objects in force, so it leaves the repair to others for a while.
-fn delay(cx: &Cx<'_>, in_force: &InForce, object: Option<&StoredObject>) -> Millis {
+/// A VM that may have missed generations would put older objects in force, so
+/// it leaves the repair to others for a while.
+fn delay(cx: &Cx<'_>, in_force: &InForce, known: &[VmId], stored: Option<Generation>) -> Millis {
     let alive: Vec<&VmId> = cx.view.alive().map(|m| &m.vm.id).collect();
     let rank = rank(&cx.view.me.id, &alive).min(MAX_RANK);
-    let stored = object
-        .and_then(|o| o.value.get("generation"))
-        .and_then(serde_json::Value::as_u64)
-        .unwrap_or(0);
-    let behind = stored > in_force.generation().0 + 1;
-    let extra = if behind { BEHIND_DELAY } else { Millis(0) };
+    let mine = in_force.generation();
+    let may_be_behind = match stored {
+        Some(stored) if stored > mine => stored.0 > mine.0 + 1,
+        _ => !hears_all(cx, known),
+    };
+    let extra = if may_be_behind {
+        BEHIND_DELAY
+    } else {
+        Millis(0)
+    };
     Millis(RANK_DELAY.0 * (rank + 1) + extra.0)
 }
 
+/// Tells whether heartbeats of all VMs of the settings arrive, so that a
+/// generation which one of them has in force would be known.
+fn hears_all(cx: &Cx<'_>, known: &[VmId]) -> bool {
+    let is_heard = |id: &VmId| {
+        let member = cx.view.member(id);
+        *id == cx.view.me.id || member.is_some_and(|m| m.state == MemberState::Alive)
+    };
+    known.iter().all(is_heard)
+}
+
 fn is_behind(cx: &Cx<'_>, in_force: &InForce) -> bool {
     cx.view
         .others()
--- a/src/core/intent/validation.rs
+++ b/src/core/intent/validation.rs
@@ -95,6 +95,12 @@
     faults.list
 }
 
+/// Tells whether `name` may name an object. Such a name is safe in a URL.
+pub fn is_plain_name(name: &str) -> bool {
+    let is_plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    (1..=MAX_NAME).contains(&name.len()) && name.bytes().all(is_plain)
+}
+
 /// The first object with each value of a field.
 type Names = BTreeMap<String, ObjectRef>;
 
@@ -188,9 +194,8 @@
     }
 
     fn check_name(&mut self, object: &ObjectRef) {
-        let is_plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
         let name = &object.name;
-        if name.is_empty() || name.len() > MAX_NAME || !name.bytes().all(is_plain) {
+        if !is_plain_name(name) {
             let remedy = format!("use 1 to {MAX_NAME} letters, digits, '-', '_' or '.'");
             self.add(object, "name", format!("{name:?}"), &remedy);
         }
--- a/tests/intent_objects.rs
+++ b/tests/intent_objects.rs
@@ -171,6 +171,49 @@
     }
 }
 
+fn shown(f: &Fleet6, key: &str) -> Value {
+    let object = f.fleet.platform.object(key);
+    object.map(|o| o.value.clone()).unwrap_or_default()
+}
+
+#[test]
+fn the_platform_shows_each_object_with_its_status() {
+    let mut f = Fleet6::open(7);
+    f.fleet.run_for(Millis::from_secs(20));
+    let key = "backends/fitting-svc-00";
+    assert_eq!(shown(&f, key)["status"]["state"], "in-force");
+    assert_eq!(
+        shown(&f, "services/lookbook-svc")["spec"]["protocol"],
+        "tcp"
+    );
+    let plan = f.plan(0, drain("fitting-svc-00"));
+    assert_eq!(f.confirm(0, &plan).status, 200);
+    // The VM that writes the objects dies at once.
+    f.fleet.run_for(Millis(100));
+    f.fleet.kill(f.ramp_driver());
+    f.fleet.run_for(Millis::from_secs(20));
+    assert_eq!(shown(&f, key)["spec"]["state"], "draining");
+    assert_eq!(shown(&f, key)["status"]["generation"], json!(2));
+    force(&mut f, |v| v["backends"][1]["slots"] = json!(0));
+    f.fleet.run_for(Millis::from_secs(10));
+    let bad = shown(&f, "backends/fitting-svc-01");
+    assert_eq!(bad["status"]["state"], "refused");
+    assert_eq!(bad["spec"]["slots"], json!(2));
+    assert!(
+        bad["status"]["reason"]
+            .as_str()
+            .unwrap()
+            .contains("slots = 0")
+    );
+    force(&mut f, |v| {
+        v["backends"].as_array_mut().unwrap().remove(1);
+        v["refused"] = json!([]);
+    });
+    f.fleet.run_for(Millis::from_secs(10));
+    let removed = shown(&f, "backends/fitting-svc-01");
+    assert_eq!(removed["status"]["state"], "removed");
+}
+
 #[test]
 fn apply_replaces_objects_and_keeps_what_operators_decided() {
     let mut f = Fleet6::open(5);
