--- a/src/core/counter.rs
+++ b/src/core/counter.rs
@@ -116,6 +116,10 @@
     RampAdvanced, "ramps_advanced", "Steps by which this VM raised a returning data centre's share.";
     RampRetried, "ramps_retried", "Ramp steps tried again after a conflict or no answer.";
     ConfigurationFetched, "configurations_fetched", "Requests to a peer for its configuration.";
+    // The process.
+    EventOverflow, "events_overflow", "Packets and messages dropped because the engine's queue was full.";
+    ActionOverflow, "actions_overflow", "Packets and messages dropped because a service's queue was full.";
+    PacketOverflow, "packets_overflow", "Packets dropped because the socket's send buffer was full.";
     // Peers.
     PeerMalformed, "peer_messages_malformed", "Messages of peers dropped because they could not be decoded.";
     PeerForEarlierRun, "peer_messages_for_earlier_run", "Messages of peers dropped because they were meant for an earlier run of this VM.";
