Let go of test addresses only while no process is being started

Cause: a test that reserved addresses and let them go lost some of them for a moment, because a process that another test was just starting still held the sockets until it ran its program. The stand-in then ended with "address already in use", read from the exit code of its zombie and its log.

Ruled out: load (the process had ended), other worktrees (each system has a loopback address of its own), self-connection, a hang in the server.

--- a/testkit/src/process/address.rs
+++ b/testkit/src/process/address.rs
@@ -14,6 +14,8 @@
     },
 };
 
+use super::child::lock_spawning;
+
 /// Hands out addresses that are free for TCP and UDP.
 ///
 /// Each has a loopback IP address of its own, by which tests that run at the
@@ -60,3 +62,10 @@
         panic!("no port is free for both TCP and UDP");
     }
 }
+
+impl Drop for Addresses {
+    fn drop(&mut self) {
+        let _spawning = lock_spawning();
+        self.held.clear();
+    }
+}
--- a/testkit/src/process/child.rs
+++ b/testkit/src/process/child.rs
@@ -16,6 +16,11 @@
         ExitStatus,
         Stdio, //
     },
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
     thread,
     time::{
         Duration,
@@ -23,6 +28,15 @@
     },
 };
 
+/// Keeps other threads from starting a process.
+///
+/// Until a new process runs its program it holds the sockets of this one. An
+/// address that is let go meanwhile stays in use for that long.
+pub(super) fn lock_spawning() -> MutexGuard<'static, ()> {
+    static SPAWNING: Mutex<()> = Mutex::new(());
+    SPAWNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A signal to a process.
 #[derive(Clone, Copy, Debug)]
 pub enum Signal {
@@ -51,6 +65,7 @@
     /// Panics if the process cannot be started.
     pub fn start(binary: &Path, args: &[String], log: &Path) -> Child {
         let open = || -> io::Result<File> { File::options().create(true).append(true).open(log) };
+        let _spawning = lock_spawning();
         let child = Command::new(binary)
             .args(args)
             .stdin(Stdio::null())
@@ -81,6 +96,7 @@
             Signal::Continue => "-CONT",
             Signal::Terminate => "-TERM",
         };
+        let _spawning = lock_spawning();
         let status = Command::new("kill")
             .args([name, &self.id().to_string()])
             .status()
