Start no test process while another test holds ports

Two of the three tests of tests/process_failures.rs failed in one run with "Address already in use" from the platform stand-in: a child that another test thread starts has a copy of the held sockets until it runs its own program, and under load that outlasts the release. Ports are now held under a lock that starting a process takes as well. Ruled out: the loopback addresses, which are unique to each system.

--- a/testkit/src/process/address.rs
+++ b/testkit/src/process/address.rs
@@ -8,12 +8,24 @@
         UdpSocket, //
     },
     process,
-    sync::atomic::{
-        AtomicU8,
-        Ordering, //
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicU8,
+            Ordering, //
+        },
     },
 };
 
+/// Keeps processes from being started while ports are held: a child has a copy
+/// of each open socket until it runs its own program.
+static HELD: Mutex<()> = Mutex::new(());
+
+/// Waits until no ports are held, and keeps it so until the guard is dropped.
+pub fn lock() -> MutexGuard<'static, ()> {
+    HELD.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Hands out addresses that are free for TCP and UDP.
 ///
 /// Each has a loopback IP address of its own, by which tests that run at the
@@ -23,10 +35,13 @@
     ip: Ipv4Addr,
     /// Holds the ports until all have been handed out.
     held: Vec<(TcpListener, UdpSocket)>,
+    /// Dropped after the ports, in the order of the fields.
+    _guard: MutexGuard<'static, ()>,
 }
 
 impl Addresses {
-    /// Chooses a loopback IP address.
+    /// Chooses a loopback IP address. No process is started until the value is
+    /// dropped.
     pub fn open() -> Addresses {
         static NEXT: AtomicU8 = AtomicU8::new(1);
         let [.., high, low] = process::id().to_be_bytes();
@@ -34,6 +49,7 @@
         Addresses {
             ip: Ipv4Addr::new(127, host, high, low.clamp(1, 254)),
             held: Vec::new(),
+            _guard: lock(),
         }
     }
 
--- a/testkit/src/process/child.rs
+++ b/testkit/src/process/child.rs
@@ -23,6 +23,8 @@
     },
 };
 
+use super::address;
+
 /// A signal to a process.
 #[derive(Clone, Copy, Debug)]
 pub enum Signal {
@@ -51,6 +53,7 @@
     /// Panics if the process cannot be started.
     pub fn start(binary: &Path, args: &[String], log: &Path) -> Child {
         let open = || -> io::Result<File> { File::options().create(true).append(true).open(log) };
+        let _guard = address::lock();
         let child = Command::new(binary)
             .args(args)
             .stdin(Stdio::null())
@@ -81,6 +84,7 @@
             Signal::Continue => "-CONT",
             Signal::Terminate => "-TERM",
         };
+        let _guard = address::lock();
         let status = Command::new("kill")
             .args([name, &self.id().to_string()])
             .status()
