--- a/src/core/flow/steer.rs
+++ b/src/core/flow/steer.rs
@@ -223,7 +223,7 @@
             service.new_target(job.bucket)
         };
         self.answer_asker(cx, &job, target);
-        self.pin(cx, &job, target);
+        self.pin_at_home(cx, &job, target);
         self.mirror(cx, job, target);
     }
 
@@ -243,7 +243,7 @@
         let may_be_recorded = self.entries.remove(job.flow) || !self.is_sure(cx, &job);
         if may_be_recorded || self.services[job.service].is_off_base(job.flow, target) {
             cx.count(Counter::FlowPinned);
-            self.pin(cx, &job, target);
+            self.pin_at_home(cx, &job, target);
             self.mirror(cx, job, target);
         } else {
             self.forward(cx, job, target);
@@ -292,10 +292,22 @@
         }
     }
 
-    fn pin(&mut self, cx: &mut Cx<'_>, job: &Job, target: u16) {
+    /// Records a flow that this VM has placed, if it is a home. Another VM
+    /// keeps nothing, as the packet may not get through to the homes.
+    fn pin_at_home(&mut self, cx: &mut Cx<'_>, job: &Job, target: u16) {
+        if self.is_home(cx, job) {
+            self.pin(cx, job, target);
+        }
+    }
+
+    fn is_home(&self, cx: &Cx<'_>, job: &Job) -> bool {
         let ranking = self.ranking(cx, job);
-        let is_home = ranking.iter().take(HOMES).any(|id| *id == cx.view.me.id);
-        let kind = if is_home || ranking.is_empty() {
+        let homes = &ranking[..ranking.len().min(HOMES)];
+        homes.is_empty() || homes.contains(&cx.view.me.id)
+    }
+
+    fn pin(&mut self, cx: &mut Cx<'_>, job: &Job, target: u16) {
+        let kind = if self.is_home(cx, job) {
             EntryKind::Pin
         } else {
             EntryKind::Cache
--- a/tests/flow_changes.rs
+++ b/tests/flow_changes.rs
@@ -27,6 +27,7 @@
 
 /// Runs `scenario` for each seed and expects no broken flow.
 fn expect_none_broken(scenario: impl Fn(&mut Fleet, &mut FlowLoad)) {
+    let mut failures = Vec::new();
     for seed in SEEDS {
         let (mut fleet, mut load) = start(seed);
         load.run_for(&mut fleet, Millis::from_secs(3));
@@ -35,9 +36,14 @@
         let lost = load.send_through_all(&mut fleet);
         assert_eq!(lost, 0, "seed {seed}: packets lost in a healthy fleet");
         assert!(load.established() > 300, "seed {seed}: too few flows");
-        let first = load.breaks.first();
-        assert_eq!(load.broken(&[]), 0, "seed {seed}: {first:?}");
+        if let Some(first) = load.breaks.first() {
+            failures.push((seed, load.broken(&[]), load.established(), *first));
+        }
     }
+    assert!(
+        failures.is_empty(),
+        "seed, broken, of, first: {failures:#?}"
+    );
 }
 
 #[test]
