Trust a view only while all VMs have the same one

Waiting longer does not help, as the views differ for good.

Change: VMs tell each other every second whom they see. A view is settled only if all visible VMs see the same ones; until then new flows of changed buckets are told to all VMs and look-ups pass on along them.

--- a/src/core/flow/message.rs
+++ b/src/core/flow/message.rs
@@ -8,7 +8,10 @@
 };
 
 use crate::core::{
-    flow::buckets::BucketSet,
+    flow::{
+        buckets::BucketSet,
+        relay::VmTag, //
+    },
     names::{
         BackendId,
         Generation,
@@ -90,6 +93,8 @@
         /// The histories.
         services: Vec<ServiceHistory>,
     },
+    /// The VMs that are alive in the sender's view, itself included, sorted.
+    Reach(Vec<VmTag>),
     /// The sender had lost sight of the receiver, which may have missed pins.
     LostSight,
     /// Answers where relayed packets went.
--- a/src/core/flow/mod.rs
+++ b/src/core/flow/mod.rs
@@ -53,6 +53,7 @@
 use answers::Answers;
 use entries::Entries;
 use history::HistoryFetch;
+use relay::VmTag;
 use service::ServiceFlows;
 use stability::Stability;
 use sync::{
@@ -63,6 +64,9 @@
 /// How often expired flows are removed.
 const SWEEP_INTERVAL: Millis = Millis::from_secs(10);
 
+/// How often VMs tell each other whom they see.
+const REACH_INTERVAL: Millis = Millis::from_secs(1);
+
 /// How often a VM is told that it was lost sight of.
 const LOST_SIGHT_INTERVAL: Millis = Millis(200);
 
@@ -105,6 +109,8 @@
     /// The VMs that have to be told that they may have missed pins.
     lost_sight: Vec<VmId>,
     next_lost_sight: Time,
+    last_reach: Vec<VmTag>,
+    next_reach: Time,
     /// When the planned stop of this VM began.
     stopping: Option<Time>,
     /// Whether the new homes have what they asked for since then.
@@ -212,6 +218,7 @@
     pub fn tick(&mut self, cx: &mut Cx<'_>) {
         self.on_view(cx);
         self.tell_lost_sight(cx);
+        self.tell_reach(cx);
         self.fetch_history(cx);
         self.release_held(cx);
         self.advance_activation(cx);
@@ -239,6 +246,7 @@
             FlowMessage::History { number, services } => {
                 self.on_history(cx, from, number, services);
             }
+            FlowMessage::Reach(reach) => self.stability.note_reach(from, reach),
             FlowMessage::LostSight => self.distrust(cx),
             FlowMessage::Answers(answers) => self.on_answers(cx, &answers),
             FlowMessage::PinsWanted {
@@ -279,6 +287,20 @@
         }
     }
 
+    /// Tells the other VMs whom this one sees.
+    fn tell_reach(&mut self, cx: &mut Cx<'_>) {
+        let reach = self.stability.reach(&cx.view.me.id);
+        if cx.now < self.next_reach && reach == self.last_reach {
+            return;
+        }
+        self.next_reach = cx.now + REACH_INTERVAL;
+        self.last_reach.clone_from(&reach);
+        let view = cx.view;
+        for member in view.others() {
+            cx.send(&member.vm.id, FlowMessage::Reach(reach.clone()));
+        }
+    }
+
     /// Tells VMs that were lost sight of, until they ask for the history.
     fn tell_lost_sight(&mut self, cx: &mut Cx<'_>) {
         if cx.now < self.next_lost_sight {
--- a/src/core/flow/stability.rs
+++ b/src/core/flow/stability.rs
@@ -4,6 +4,10 @@
 
 use crate::{
     core::{
+        flow::relay::{
+            VmTag,
+            tag, //
+        },
         membership::{
             Member,
             MemberState,
@@ -63,6 +67,10 @@
     /// Counts the changes of `reliable`.
     version: u64,
     changed_at: Time,
+    /// The VMs that each other VM sees alive.
+    reaches: BTreeMap<VmId, Vec<VmTag>>,
+    /// Whether all of them see the same ones as this VM.
+    agreed: bool,
     suspects: bool,
     /// Whether a VM is visible that is not asked yet.
     has_newcomers: bool,
@@ -95,6 +103,7 @@
             });
         }
         self.visible = visible;
+        self.agreed = self.views_agree(view);
         self.note_reliable(view, now);
         gained
     }
@@ -144,11 +153,34 @@
     /// Tells whether all VMs can be expected to rely on the same ones.
     pub fn is_settled(&self, now: Time) -> bool {
         !self.suspects
+            && self.agreed
             && !self.has_newcomers
             && now.since(self.changed_at) >= SETTLE_TIME
             && self.since_pause(now) >= SETTLE_TIME
     }
 
+    /// Notes which VMs are alive in the view of `from`.
+    pub fn note_reach(&mut self, from: &VmId, reach: Vec<VmTag>) {
+        self.reaches.insert(from.clone(), reach);
+    }
+
+    /// Returns the tags of the VMs that are alive, this one included.
+    pub fn reach(&self, me: &VmId) -> Vec<VmTag> {
+        let mut reach: Vec<VmTag> = self.visible.iter().map(|v| tag(&v.id)).collect();
+        if !self.visible.iter().any(|v| v.id == *me) {
+            reach.push(tag(me));
+        }
+        reach.sort_unstable();
+        reach
+    }
+
+    /// Tells whether all VMs that are alive see the same ones alive.
+    fn views_agree(&self, view: &View) -> bool {
+        let mine = self.reach(&view.me.id);
+        let mut others = self.visible.iter().filter(|v| v.id != view.me.id);
+        others.all(|v| self.reaches.get(&v.id) == Some(&mine))
+    }
+
     /// Tells whether another VM is visible that is not asked yet.
     pub fn has_newcomers(&self) -> bool {
         self.has_newcomers
--- a/tests/flow_failures.rs
+++ b/tests/flow_failures.rs
@@ -187,6 +187,40 @@
     });
 }
 
+#[test]
+fn two_data_centres_cut_from_each_other() {
+    expect_none_broken(|fleet, load| {
+        for (a, b) in [
+            ("vm0", "vm2"),
+            ("vm0", "vm3"),
+            ("vm1", "vm2"),
+            ("vm1", "vm3"),
+        ] {
+            fleet.links.cut(a, b);
+        }
+        load.run_for(fleet, Millis::from_secs(3));
+        load.set_state(fleet, 4, BackendState::Draining);
+        load.run_for(fleet, Millis::from_secs(12));
+        fleet.links.heal();
+        load.run_for(fleet, Millis::from_secs(8));
+    });
+}
+
+#[test]
+fn vm_cut_off_briefly_while_a_change_spreads() {
+    expect_none_broken(|fleet, load| {
+        load.opened_per_second = 200;
+        load.max_pause = Millis(100);
+        for round in 0..4 {
+            cut_off(fleet, &[3]);
+            load.set_state(fleet, 4 + round, BackendState::Draining);
+            load.run_for(fleet, Millis(1_000));
+            fleet.links.heal();
+            load.run_for(fleet, Millis::from_secs(4));
+        }
+    });
+}
+
 #[test]
 fn heartbeats_lost_one_way() {
     expect_none_broken(|fleet, load| {
