--- a/src/core/request/budget.rs
+++ b/src/core/request/budget.rs
@@ -4,15 +4,15 @@
 const RETRY_COST: u32 = 1_000;
 
 /// What each first attempt adds, in thousandths of a token.
-const DEPOSIT: u32 = 100;
+const DEPOSIT: u32 = 80;
 
 /// The most that is saved up, in thousandths of a token.
-const MAX_SAVED: u32 = 10_000;
+const MAX_SAVED: u32 = 4_000;
 
 /// A token bucket that is filled by first attempts and emptied by retries.
 ///
-/// Invariant: over any span, retries are at most a tenth of the first attempts
-/// plus ten.
+/// Invariant: over any span, retries are at most 8% of the first attempts plus
+/// four. The sum over all VMs stays under 10% once each has had 200 requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RetryBudget {
     saved: u32,
--- a/testkit/src/backend.rs
+++ b/testkit/src/backend.rs
@@ -59,6 +59,8 @@
     pub service_time: Millis,
     /// How many requests run now.
     pub running: u32,
+    /// How many requests have been offered, refused ones included.
+    pub offered: u64,
     /// The most requests that were ever offered at once.
     pub most_offered: u32,
     /// All runs.
@@ -81,6 +83,7 @@
 impl FakeBackend {
     /// Takes in a request.
     pub fn on_request(&mut self, now: Time, wall: WallTime, attempt: &Attempt) -> Reaction {
+        self.offered += 1;
         if !self.alive {
             return Reaction::AtOnce(AttemptOutcome::NotRun(NotRunReason::NotConnected));
         }
@@ -134,6 +137,7 @@
             allowance: backend.slots,
             service_time: SERVICE_TIME,
             running: 0,
+            offered: 0,
             most_offered: 0,
             runs: Vec::new(),
             flows: HashSet::new(),
--- a/tests/request_history.rs
+++ b/tests/request_history.rs
@@ -137,7 +137,16 @@
 
 #[test]
 fn no_violation_in_random_histories() {
-    for seed in 1..=12 {
+    check_histories(1..=6);
+}
+
+#[test]
+fn no_violation_in_more_random_histories() {
+    check_histories(7..=12);
+}
+
+fn check_histories(seeds: impl Iterator<Item = u64>) {
+    for seed in seeds {
         let (history, callers, _) = run(seed, Repeat::SameTicket);
         assert_eq!(history.check(), [], "seed {seed}");
         println!(
