Prove that a VM that dies in its planned stop leaves no false answers

Cause: no test held the ending of tickets whose giver died after it had handed its table over; taking that code out went unnoticed.

--- a/tests/request_tickets.rs
+++ b/tests/request_tickets.rs
@@ -278,6 +278,30 @@
     assert_eq!(runs(&fleet), 2);
 }
 
+#[test]
+fn a_vm_that_dies_in_its_planned_stop_leaves_its_running_requests_unknown() {
+    let mut fleet = fleet();
+    let running = ticket(&mut fleet, 0);
+    let unused = ticket(&mut fleet, 0);
+    for backend in &mut fleet.backends {
+        backend.service_time = Millis::from_secs(4);
+    }
+    send(&mut fleet, 3, 1, Some(&running), LONG);
+    fleet.run_for(Millis(100));
+    fleet.stop(0);
+    fleet.run_for(Millis(500));
+    fleet.kill(0);
+    fleet.run_for(Millis::from_secs(8));
+    let gone = Answer::unknown(UnknownReason::VmGone);
+    assert_eq!(told(&fleet, 1).map(|(_, a)| a), Some(gone.clone()));
+    send(&mut fleet, 4, 2, Some(&running), LONG);
+    send(&mut fleet, 4, 3, Some(&unused), LONG);
+    fleet.run_for(Millis::from_secs(6));
+    assert_eq!(told(&fleet, 2).map(|(_, a)| a), Some(gone));
+    assert!(told(&fleet, 3).is_some_and(|(_, a)| is_answered(&a)));
+    assert_eq!(runs(&fleet), 2);
+}
+
 #[test]
 fn a_stopping_vm_says_not_run_only_of_what_has_no_ticket() {
     let mut fleet = fleet();
