Wait for owners after a restart and be ready once there is one

Cause: after a restart of all VMs the leases of the earlier run are waited out for 2.5 s. Requests now wait while no owner is known at all, and a VM is ready only once it knows an owner of a backend server.

The request machine keeps its own queue and acquires for the first request only, so one slot was asked for at a time. It now says how many wait. Owners that are suspected or silent for 2 s are no longer asked.

--- a/src/core/capacity/mod.rs
+++ b/src/core/capacity/mod.rs
@@ -42,6 +42,7 @@
         cx::Cx,
         names::{
             BackendId,
+            Generation,
             ServiceId,
             VmId, //
         },
@@ -157,6 +158,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Waiting {
     count: u32,
+    /// How many requests the caller said to be waiting.
+    expected: u32,
     /// Whether no slot of any backend server was known to be free.
     is_exhausted: bool,
 }
@@ -164,6 +167,7 @@
 /// The capacity state machine.
 #[derive(Debug, Default)]
 pub struct Capacity {
+    is_ready: bool,
     next_slot: u64,
     owner: Owner,
     loans: Loans,
@@ -179,6 +183,20 @@
         Capacity::default()
     }
 
+    /// Tells whether an owner of a backend server has been known, so that
+    /// requests need not wait for the leases of an earlier run to end.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready
+    }
+
+    fn note_readiness(&mut self, cx: &Cx<'_>) {
+        if cx.cfg.generation == Generation::default() {
+            return;
+        }
+        let mut backends = cx.cfg.backends.iter();
+        self.is_ready = cx.cfg.backends.is_empty() || backends.any(|b| self.has_owner(cx, &b.name));
+    }
+
     /// Returns the backend servers that this VM owns.
     pub fn owned(&self) -> impl Iterator<Item = &BackendId> {
         self.owner.held()
@@ -205,6 +223,9 @@
     pub fn tick(&mut self, cx: &mut Cx<'_>) {
         self.waiting.clear();
         self.owner.tick(cx);
+        if !self.is_ready {
+            self.note_readiness(cx);
+        }
         for ask in self.loans.tick(cx) {
             cx.count(Counter::SlotAskLost);
             self.note_denial(cx.now, &ask.backend);
@@ -287,6 +308,13 @@
         }
     }
 
+    /// Tells that `waiting` requests of `service` wait for slots. To be called
+    /// before an acquisition that stands for all of them.
+    pub fn expect(&mut self, service: &ServiceId, waiting: usize) {
+        let entry = self.waiting.entry(service.clone()).or_default();
+        entry.expected = u32::try_from(waiting).unwrap_or(u32::MAX);
+    }
+
     /// Gives a slot back. To be called once for each slot.
     pub fn release(&mut self, cx: &mut Cx<'_>, slot: &Slot, report: SlotReport) {
         self.waiting.clear();
--- a/src/core/capacity/owner.rs
+++ b/src/core/capacity/owner.rs
@@ -78,6 +78,11 @@
             .map(|(id, _)| id)
     }
 
+    /// Tells whether this VM owns `backend`.
+    pub fn owns(&self, backend: &BackendId) -> bool {
+        self.books.get(backend).is_some_and(|b| b.is_held)
+    }
+
     /// Takes in a new configuration.
     pub fn on_configuration(&mut self, cx: &mut Cx<'_>) {
         for (id, book) in &mut self.books {
--- a/src/core/capacity/select.rs
+++ b/src/core/capacity/select.rs
@@ -20,6 +20,7 @@
         configuration::Backend,
         counter::Counter,
         cx::Cx,
+        membership::MemberState,
         names::{
             BackendId,
             ServiceId,
@@ -36,6 +37,9 @@
 /// a request is refused.
 const KNOWLEDGE_AGE: Millis = Millis(300);
 
+/// An owner that was not heard of for this long is no longer asked.
+const OWNER_AGE: Millis = Millis::from_secs(2);
+
 /// How many requests of one service may wait for a slot.
 const MAX_WAITING: u32 = 16;
 
@@ -103,7 +107,7 @@
             let waiting = self.waiting.entry(service.clone()).or_default();
             waiting.is_exhausted = true;
         }
-        self.ask_for_slot(cx, service, &eligible, best)
+        Err(self.ask_for_slots(cx, service, &eligible))
     }
 
     fn best_loan(&self, cx: &mut Cx<'_>, eligible: &Eligible<'_>) -> Option<LoanKey> {
@@ -159,10 +163,10 @@
                 fullness: fullness(own, backend) - OWN_TOLERANCE,
             });
         }
-        let known = self.known.get(&backend.name)?;
+        let known = self.known_owner(cx, &backend.name)?;
         let mut load = known.load;
         load.leased += self.loans.pending_at(&backend.name);
-        (known.owner != cx.view.me.id && load.leased < load.open).then(|| Candidate {
+        (load.leased < load.open).then(|| Candidate {
             backend,
             from: Origin::Remote(known.owner.clone()),
             fullness: fullness(load, backend),
@@ -195,42 +199,50 @@
         }
     }
 
-    fn ask_for_slot(
+    /// Asks the other VMs for a slot for each request that waits.
+    fn ask_for_slots(
         &mut self,
         cx: &mut Cx<'_>,
         service: &ServiceId,
         eligible: &Eligible<'_>,
-        best: Option<Candidate<'_>>,
-    ) -> Result<Slot, NoSlot> {
-        let waiting = self.count_waiting(service);
-        if waiting > MAX_WAITING {
+    ) -> NoSlot {
+        let (counted, waiting) = self.count_waiting(service);
+        if counted > MAX_WAITING {
             cx.count(Counter::SlotRefusedBusy);
-            return Err(NoSlot::Busy);
+            return NoSlot::Busy;
         }
-        let pending = self.loans.pending(service);
-        if waiting <= pending {
-            return Err(NoSlot::Asked);
-        }
-        let target = match best {
-            Some(Candidate {
-                backend,
-                from: Origin::Remote(owner),
-                ..
-            }) => Some((&backend.name, owner)),
-            _ => self
-                .stalest(cx, eligible)
-                .or_else(|| self.shortest_queue(cx, eligible)),
-        };
-        if let Some((backend, owner)) = target {
+        while self.loans.pending(service) < waiting {
+            let Some((backend, owner)) = self.ask_target(cx, eligible) else {
+                break;
+            };
             cx.count(Counter::SlotAsked);
             self.loans.ask(cx, service, backend, &owner);
-            return Err(NoSlot::Asked);
         }
-        if pending > 0 {
-            return Err(NoSlot::Asked);
+        let has_owner = |b: &&Backend| self.has_owner(cx, &b.name);
+        if self.loans.pending(service) > 0 || !eligible.iter().any(has_owner) {
+            return NoSlot::Asked;
         }
         cx.count(Counter::SlotRefusedBusy);
-        Err(NoSlot::Busy)
+        NoSlot::Busy
+    }
+
+    /// Returns the backend server to ask for a slot next, and its owner.
+    fn ask_target<'a>(
+        &self,
+        cx: &mut Cx<'_>,
+        eligible: &Eligible<'a>,
+    ) -> Option<(&'a BackendId, VmId)> {
+        let best = self.best_candidate(cx, eligible);
+        if let Some(Candidate {
+            backend,
+            from: Origin::Remote(owner),
+            ..
+        }) = best
+        {
+            return Some((&backend.name, owner));
+        }
+        self.stalest(cx, eligible)
+            .or_else(|| self.shortest_queue(cx, eligible))
     }
 
     /// Returns the backend server of another VM whose load was learnt longest
@@ -262,11 +274,10 @@
     ) -> Option<(&'a BackendId, VmId)> {
         let mut shortest: Option<(u32, u32, &Known, &'a BackendId)> = None;
         for backend in eligible {
-            let Some(known) = self.known.get(&backend.name) else {
+            let Some(known) = self.known_owner(cx, &backend.name) else {
                 continue;
             };
-            let is_own = known.owner == cx.view.me.id;
-            if is_own || known.load.open == 0 || known.is_denied(cx.now) {
+            if known.load.open == 0 || known.is_denied(cx.now) {
                 continue;
             }
             let pending = self.loans.pending_at(&backend.name);
@@ -278,14 +289,29 @@
         shortest.map(|(_, _, known, backend)| (backend, known.owner.clone()))
     }
 
+    /// Returns the VM to ask about `backend` and when its load was learnt.
     fn owner_of(&self, cx: &Cx<'_>, backend: &Backend) -> Option<(Time, VmId)> {
-        if let Some(known) = self.known.get(&backend.name)
-            && cx.view.member(&known.owner).is_some()
-        {
+        if let Some(known) = self.known_owner(cx, &backend.name) {
             return Some((known.at, known.owner.clone()));
         }
         let owner = preferred_owner(cx.view, &backend.data_centre, &backend.name)?;
-        Some((Time(0), owner.clone()))
+        let asked = self.known.get(&backend.name).and_then(|k| k.denied);
+        Some((asked.unwrap_or_default(), owner.clone()))
+    }
+
+    /// Returns what is known of `backend` if another VM that lives owns it.
+    fn known_owner(&self, cx: &Cx<'_>, backend: &BackendId) -> Option<&Known> {
+        let known = self.known.get(backend)?;
+        let is_recent = cx.now.since(known.at) < OWNER_AGE;
+        let member = cx.view.member(&known.owner)?;
+        let lives = member.state != MemberState::Suspect;
+        (is_recent && lives && member.vm.id != cx.view.me.id).then_some(known)
+    }
+
+    /// Tells whether any VM is known to own `backend`. If none is known to own
+    /// any, as after a restart of all VMs, requests wait rather than fail.
+    pub(super) fn has_owner(&self, cx: &Cx<'_>, backend: &BackendId) -> bool {
+        self.owner.owns(backend) || self.known_owner(cx, backend).is_some()
     }
 
     /// Tells whether nothing is free since the last event and enough slots
@@ -295,16 +321,19 @@
         let Some(waiting) = self.waiting.get_mut(service) else {
             return false;
         };
-        let is_turned_away = waiting.is_exhausted && waiting.count < pending;
+        let needed = waiting.expected.min(MAX_WAITING).max(waiting.count + 1);
+        let is_turned_away = waiting.is_exhausted && needed <= pending;
         waiting.count += u32::from(is_turned_away);
         is_turned_away
     }
 
-    /// Counts a failed acquisition. Returns how many requests wait for a slot.
-    fn count_waiting(&mut self, service: &ServiceId) -> u32 {
+    /// Counts a failed acquisition. Returns how many there were and how many
+    /// slots are needed.
+    fn count_waiting(&mut self, service: &ServiceId) -> (u32, u32) {
         let waiting = self.waiting.entry(service.clone()).or_default();
         waiting.count += 1;
-        waiting.count
+        let needed = waiting.count.max(waiting.expected).min(MAX_WAITING);
+        (waiting.count, needed)
     }
 }
 
--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -164,9 +164,10 @@
         &self.counters
     }
 
-    /// Tells whether the VM may serve: a configuration is in force.
+    /// Tells whether the VM may serve: a configuration is in force and slots
+    /// can be acquired.
     pub fn is_ready(&self) -> bool {
-        self.configuration().generation > Generation::default()
+        self.configuration().generation > Generation::default() && self.machines.capacity.is_ready()
     }
 
     /// Tells whether nothing is left to do before the process may exit.
--- a/src/core/request/dispatch.rs
+++ b/src/core/request/dispatch.rs
@@ -45,6 +45,7 @@
         if first.deadline <= cx.now {
             return self.refuse_first(service, NotRunReason::DeadlinePassed);
         }
+        capacity.expect(service, self.queues.len_of(service));
         match capacity.acquire(cx, service, &first.tried) {
             Err(NoSlot::Asked | NoSlot::Busy) => false,
             Err(NoSlot::NoBackend) => self.refuse_first(service, NotRunReason::NoBackend),
