--- a/testkit/src/slots.rs
+++ b/testkit/src/slots.rs
@@ -467,6 +467,19 @@
         }
     }
 
+    /// Returns how many requests run now on the backend servers of `service`.
+    pub fn in_flight(&mut self, service: &ServiceId) -> usize {
+        let now = self.now;
+        let mut running = 0;
+        for backend in self.cfg.backends_of(service) {
+            if let Some(cold) = self.backends.get_mut(&backend.name) {
+                cold.pass_time(now);
+                running += cold.running.len();
+            }
+        }
+        running
+    }
+
     /// Starts a new measurement of [`SlotFleet::imbalance`].
     pub fn reset_imbalance(&mut self) {
         let now = self.now;
--- a/tests/capacity_failures.rs
+++ b/tests/capacity_failures.rs
@@ -192,6 +192,27 @@
     }
 }
 
+#[test]
+fn slots_of_long_requests_stay_busy_after_their_vm_dies() {
+    const LONG: Millis = Millis::from_secs(12);
+    for seed in [9, 10] {
+        let mut fleet = warm_fleet(seed);
+        fleet.run_for(Millis::from_secs(2));
+        for _ in 0..30 {
+            fleet.request(3, &service(), LONG);
+            fleet.run_for(Millis(5));
+        }
+        // Longer than it takes to announce a request as long.
+        fleet.run_for(Millis::from_secs(4));
+        let running = fleet.in_flight(&service());
+        fleet.kill(3);
+        load_for(&mut fleet, Millis::from_secs(12));
+        println!("seed {seed}: {running} long requests outlive their VM");
+        assert!(running >= 20);
+        assert_eq!(over_slots(&fleet), 0);
+    }
+}
+
 /// One disturbance of a random history.
 fn disturb(fleet: &mut SlotFleet, rng: &mut SmallRng) {
     let vm = rng.random_range(0..VMS);
