Say what a plan touches, and when its effect is no longer known

Cause: a plan showed 0 flows and 0 requests for every backend server, because nobody counted them; and a plan whose confirmation was forgotten, after 64 others or a bare record, was called superseded although it may have taken effect.

Plans show the requests that this VM runs and each backend server's share of the service's weight; flows are shown as unknown, since a VM keeps no record of a flow whose place follows from its hash. The record says since when it remembers, and a confirmation from before that is answered 410.

--- a/src/command/plan.rs
+++ b/src/command/plan.rs
@@ -23,7 +23,10 @@
             AdminRequest,
             ClientError, //
         },
-        table::Table,
+        table::{
+            Table,
+            or_dash, //
+        },
     },
     core::intent::Plan,
 };
@@ -212,12 +215,13 @@
 
 fn print_touched(plan: &Plan) {
     println!("\ntouched (as {} knows)", plan.made_by);
-    let mut table = Table::new(["BACKEND SERVER", "FLOWS", "REQUESTS", "EFFECT"]);
+    let mut table = Table::new(["BACKEND SERVER", "WEIGHT", "FLOWS", "REQUESTS", "EFFECT"]);
     for touched in &plan.touched {
         table.row([
             touched.backend.to_string(),
-            touched.usage.flows.to_string(),
-            touched.usage.requests.to_string(),
+            format!("{}%", touched.weight_percent),
+            or_dash(touched.usage.flows),
+            or_dash(touched.usage.requests),
             touched.effect.to_string(),
         ]);
     }
--- a/src/command/services.rs
+++ b/src/command/services.rs
@@ -12,7 +12,10 @@
             AdminRequest,
             ClientError, //
         },
-        table::Table,
+        table::{
+            Table,
+            or_dash, //
+        },
     },
     core::intent::status::{
         ServiceStatus,
@@ -90,8 +93,8 @@
             format!("{}%", entry.new_work_share),
             backend.slots.to_string(),
             backend.connections.to_string(),
-            entry.usage.flows.to_string(),
-            entry.usage.requests.to_string(),
+            or_dash(entry.usage.flows),
+            or_dash(entry.usage.requests),
         ]);
     }
     table.print();
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -12,7 +12,10 @@
             AdminRequest,
             ClientError, //
         },
-        table::Table,
+        table::{
+            Table,
+            or_dash, //
+        },
     },
     core::intent::status::Status,
 };
@@ -117,7 +120,3 @@
     println!();
     table.print();
 }
-
-fn or_dash(value: Option<impl ToString>) -> String {
-    value.map_or_else(|| "-".to_owned(), |v| v.to_string())
-}
--- a/src/command/table.rs
+++ b/src/command/table.rs
@@ -35,3 +35,8 @@
         }
     }
 }
+
+/// Returns `value` as text, or a dash if there is none.
+pub fn or_dash(value: Option<impl ToString>) -> String {
+    value.map_or_else(|| "-".to_owned(), |v| v.to_string())
+}
--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -27,7 +27,8 @@
             AdminCall,
             Intents,
             PlatformCallId,
-            PlatformOutcome, //
+            PlatformOutcome,
+            Usage, //
         },
         membership::{
             Membership,
@@ -224,7 +225,11 @@
                     .on_outcome(cx, &mut self.capacity, id, outcome);
             }
             Event::PlatformDone(id, outcome) => self.intents.on_platform(cx, id, outcome),
-            Event::Admin(call) => self.intents.on_admin(cx, call),
+            Event::Admin(call) => {
+                let usage = Usage::count_requests(cx.cfg, self.requests.running_on());
+                self.intents.set_usage(usage);
+                self.intents.on_admin(cx, call);
+            }
             Event::Stop => self.stop(cx),
         }
     }
--- a/src/core/intent/admin.rs
+++ b/src/core/intent/admin.rs
@@ -101,6 +101,8 @@
     pub(in crate::core::intent) const NOT_FOUND: u16 = 404;
     /// Another plan was confirmed first, or nothing would change.
     pub(in crate::core::intent) const CONFLICT: u16 = 409;
+    /// It is no longer known whether the plan took effect.
+    pub(in crate::core::intent) const GONE: u16 = 410;
     /// The intent makes no sense.
     pub(in crate::core::intent) const UNPROCESSABLE: u16 = 422;
     /// The platform did not answer, and nothing was done.
--- a/src/core/intent/confirming.rs
+++ b/src/core/intent/confirming.rs
@@ -236,11 +236,10 @@
 fn superseded(cx: &mut Cx<'_>, plan: &Plan, record: &Record) -> Reply {
     cx.count(Counter::PlanRefusedSuperseded);
     cx.note(Notice::PlanRefused, format!("{}: superseded", plan.id));
-    let oldest = record.confirmed.first().map(|c| c.generation);
-    if oldest.is_some_and(|oldest| oldest > plan.base.decision) && is_full(record) {
+    if plan.base.decision < record.remembers_since {
         return Reply::error(
-            status::CONFLICT,
-            "so many plans were confirmed since that this one is no longer remembered",
+            status::GONE,
+            "so much was decided since that it is no longer known whether this plan took effect",
             "look at `dragonflytrack services` and plan again if the change is missing",
         );
     }
@@ -254,10 +253,6 @@
     )
 }
 
-fn is_full(record: &Record) -> bool {
-    record.confirmed.len() >= super::record::CONFIRMED_KEPT
-}
-
 fn unknown_plan(cx: &mut Cx<'_>, reason: &str) -> Reply {
     cx.count(Counter::PlanRefusedUnknown);
     Reply::error(
--- a/src/core/intent/plan.rs
+++ b/src/core/intent/plan.rs
@@ -11,6 +11,7 @@
 
 use crate::core::{
     configuration::{
+        Backend,
         Configuration,
         DataCentreState, //
     },
@@ -42,10 +43,11 @@
 /// The work that a backend server has, as far as this VM knows.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct BackendUsage {
-    /// Established flows.
-    pub flows: u64,
-    /// Requests in flight.
-    pub requests: u64,
+    /// Established flows. `None` if they are not counted: a VM keeps no record
+    /// of a flow whose place follows from its hash.
+    pub flows: Option<u64>,
+    /// Requests that this VM has in flight.
+    pub requests: Option<u64>,
 }
 
 /// The work of all backend servers, as far as this VM knows.
@@ -56,6 +58,26 @@
 }
 
 impl Usage {
+    /// Counts requests by the backend servers that run them.
+    pub fn count_requests<'a>(
+        cfg: &Configuration,
+        running_on: impl Iterator<Item = &'a BackendId>,
+    ) -> Usage {
+        let idle = BackendUsage {
+            flows: None,
+            requests: Some(0),
+        };
+        let names = cfg.backends.iter().map(|b| b.name.clone());
+        let mut usage = Usage {
+            backends: names.map(|name| (name, idle)).collect(),
+        };
+        for name in running_on {
+            let entry = usage.backends.entry(name.clone()).or_default();
+            entry.requests = Some(entry.requests.unwrap_or(0) + 1);
+        }
+        usage
+    }
+
     /// Returns the work of `backend`.
     pub fn of(&self, backend: &BackendId) -> BackendUsage {
         self.backends.get(backend).copied().unwrap_or_default()
@@ -95,6 +117,9 @@
 pub struct Touched {
     /// The backend server.
     pub backend: BackendId,
+    /// Its share of the service's weight in force, in percent. About as many
+    /// of the service's flows end there.
+    pub weight_percent: u64,
     /// Its work, as far as the VM that made the plan knows.
     pub usage: BackendUsage,
     /// What becomes of it.
@@ -148,12 +173,12 @@
         used: u64,
     },
     /// Flows into a data centre are given up.
-    #[display("flows that end in data centre {data_centre} are given up ({flows} known here)")]
+    #[display("flows that end in data centre {data_centre} are given up")]
     FlowsGivenUp {
         /// The data centre.
         data_centre: DataCentreId,
-        /// How many flows the VM that made the plan knows.
-        flows: u64,
+        /// How many flows the VM that made the plan knows, if it counts them.
+        flows: Option<u64>,
     },
     /// A backend server disappears.
     #[display("backend server {backend} disappears; drain it first to keep its flows")]
@@ -330,6 +355,7 @@
         };
         list.push(Touched {
             backend: backend.name.clone(),
+            weight_percent: weight_percent(old, backend),
             usage: usage.of(&backend.name),
             effect,
         });
@@ -337,6 +363,12 @@
     list
 }
 
+fn weight_percent(cfg: &Configuration, backend: &Backend) -> u64 {
+    let weight = |b: &Backend| u64::from(b.slots) * u64::from(cfg.new_work_share(b));
+    let sum: u64 = cfg.backends_of(&backend.service).map(weight).sum();
+    (weight(backend) * 100).checked_div(sum).unwrap_or(0)
+}
+
 fn capacity_of(cfg: &Configuration, service: &ServiceId) -> Capacity {
     let mut sum = Capacity::default();
     for backend in cfg.backends_of(service) {
@@ -407,9 +439,9 @@
             service: service.clone(),
         });
     }
-    let used = |of: fn(BackendUsage) -> u64| -> u64 {
+    let used = |of: fn(BackendUsage) -> Option<u64>| -> u64 {
         let names = old.backends_of(service).map(|b| &b.name);
-        names.map(|name| of(usage.of(name))).sum()
+        names.filter_map(|name| of(usage.of(name))).sum()
     };
     let pairs = [
         ("slots", left.after.slots, used(|u| u.requests)),
@@ -427,7 +459,7 @@
     }
 }
 
-fn flows_into(cfg: &Configuration, data_centre: &DataCentreId, usage: &Usage) -> u64 {
+fn flows_into(cfg: &Configuration, data_centre: &DataCentreId, usage: &Usage) -> Option<u64> {
     let there = cfg
         .backends
         .iter()
--- a/src/core/intent/record.rs
+++ b/src/core/intent/record.rs
@@ -73,6 +73,11 @@
     ///
     /// Invariant: at most [`CONFIRMED_KEPT`].
     pub confirmed: Vec<ConfirmedPlan>,
+    /// The generation since which `confirmed` lacks no plan.
+    ///
+    /// A plan that rests on an earlier decision may have taken effect and have
+    /// been forgotten.
+    pub remembers_since: Generation,
     /// The objects that were refused when this record was written.
     pub refused: Vec<RefusedObject>,
 }
@@ -127,7 +132,7 @@
         let mut next = self.succeed(cfg);
         next.decision = next.generation();
         if next.confirmed.len() >= CONFIRMED_KEPT {
-            next.confirmed.remove(0);
+            next.remembers_since = next.confirmed.remove(0).generation;
         }
         next.confirmed.push(ConfirmedPlan {
             plan: plan.clone(),
@@ -161,6 +166,8 @@
         fields.insert("decision".to_owned(), decision);
         fields.insert("confirmed".to_owned(), confirmed);
         fields.insert("refused".to_owned(), refused);
+        let remembers_since = serde_json::json!(self.remembers_since);
+        fields.insert("remembers_since".to_owned(), remembers_since);
         value
     }
 
@@ -193,6 +200,7 @@
             decision: field(fields, "decision")?
                 .map_or(generation, |d: Generation| d.min(generation)),
             confirmed: field(fields, "confirmed")?.unwrap_or_default(),
+            remembers_since: field(fields, "remembers_since")?.unwrap_or(generation),
             refused: field(fields, "refused")?.unwrap_or_default(),
         };
         Ok(Decoded { record, refused })
--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -78,7 +78,7 @@
         capacity::Capacity,
         counter::Counter,
         cx::Cx,
-        names::VmId,
+        names::{BackendId, VmId},
         request::{handover::HandOver, relay::Relays, runner::Runner, tickets::Tickets},
     },
     kernel::clock::Time,
@@ -116,6 +116,11 @@
         self.runner.len() + self.waiting.len() + usize::from(handing_over)
     }
 
+    /// Returns the backend server of each request that this VM runs.
+    pub fn running_on(&self) -> impl Iterator<Item = &BackendId> {
+        self.runner.running_on()
+    }
+
     /// Takes in a new configuration.
     pub fn on_configuration(&mut self, cx: &mut Cx<'_>, capacity: &mut Capacity) {
         self.runner.on_configuration(cx, capacity);
--- a/src/core/request/runner.rs
+++ b/src/core/request/runner.rs
@@ -13,7 +13,10 @@
         },
         counter::Counter,
         cx::Cx,
-        names::ServiceId,
+        names::{
+            BackendId,
+            ServiceId, //
+        },
         request::{
             answer::{
                 Answer,
@@ -84,6 +87,11 @@
         self.running.len() + self.queues.len()
     }
 
+    /// Returns the backend server of each request that runs.
+    pub fn running_on(&self) -> impl Iterator<Item = &BackendId> {
+        self.running.values().map(|r| &r.slot.backend)
+    }
+
     /// Tells whether no request runs or waits.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- a/tests/intent_plans.rs
+++ b/tests/intent_plans.rs
@@ -166,3 +166,33 @@
     assert_eq!(dc.state, DataCentreState::In);
     assert_eq!(f.cfg(f.alive()).generation, Generation(7));
 }
+
+#[test]
+fn a_plan_that_is_no_longer_remembered_is_not_said_to_have_failed() {
+    let mut f = Fleet6::open(10);
+    let plan = f.plan(0, drain("fitting-svc-00"));
+    assert_eq!(f.confirm(0, &plan).status, 200);
+    for n in 0..70 {
+        let intent = match n % 2 {
+            0 => drain("fitting-svc-01"),
+            _ => intent_support::undrain("fitting-svc-01"),
+        };
+        let later = f.plan(1, intent);
+        assert_eq!(f.confirm(1, &later).status, 200);
+    }
+    f.fleet.run_for(Millis::from_secs(1));
+    assert_eq!(f.confirm(0, &plan).status, 410);
+    assert_eq!(f.generations(), [72; 6]);
+}
+
+#[test]
+fn a_plan_shows_the_work_that_it_touches() {
+    let mut f = Fleet6::open(11);
+    let plan = f.plan(0, drain("fitting-svc-00"));
+    let touched = &plan["touched"][0];
+    assert_eq!(touched["backend"], "fitting-svc-00");
+    assert_eq!(touched["weight_percent"], 6);
+    assert_eq!(touched["usage"]["requests"], 0);
+    // Flows whose place follows from their hash are not counted.
+    assert_eq!(touched["usage"]["flows"], serde_json::Value::Null);
+}
