Refuse a generation that leaves no room for successors

Cause: a record with generation 2^64 - 1, written past the plans, came in force on all VMs; the next change would have overflowed.

Before: a_generation_that_leaves_no_room_for_successors failed with that number on all six VMs. After: it passes; such a record is refused and replaced, and one of a peer is counted and dropped. 11 tests of objects pass.

--- a/src/core/intent/in_force.rs
+++ b/src/core/intent/in_force.rs
@@ -8,7 +8,10 @@
         counter::Counter,
         cx::Cx,
         intent::{
-            record::Record,
+            record::{
+                MAX_GENERATION,
+                Record, //
+            },
             validation::check, //
         },
         names::Generation,
@@ -102,7 +105,7 @@
                 Offer::Diverged
             };
         }
-        if !check(&record.cfg).is_empty() {
+        if record.generation() > MAX_GENERATION || !check(&record.cfg).is_empty() {
             return Offer::Bad;
         }
         Offer::Applied
--- a/src/core/intent/record.rs
+++ b/src/core/intent/record.rs
@@ -33,6 +33,9 @@
 /// How many confirmed plans a record remembers.
 pub const CONFIRMED_KEPT: usize = 64;
 
+/// The highest generation that is read. It leaves room for successors.
+pub const MAX_GENERATION: Generation = Generation(1 << 40);
+
 /// A plan that was confirmed.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ConfirmedPlan {
@@ -187,6 +190,12 @@
                 reason: "it is missing or 0".to_owned(),
             });
         }
+        if generation > MAX_GENERATION {
+            return Err(RecordError::Field {
+                field: "generation",
+                reason: format!("{generation} is above {MAX_GENERATION}"),
+            });
+        }
         let mut refused = Vec::new();
         let mut cfg = Configuration {
             generation,
--- a/tests/intent_objects.rs
+++ b/tests/intent_objects.rs
@@ -7,13 +7,20 @@
 
 use dragonflytrack::{
     core::{
+        Event,
+        configuration::Configuration,
         intent::{
             CONFIGURATION_KEY,
             Intent,
+            IntentMessage,
             Record,
             validation::check, //
         },
         message::Envelope,
+        names::{
+            Generation,
+            Incarnation, //
+        },
     },
     kernel::clock::Millis,
 };
@@ -123,6 +130,38 @@
     }
 }
 
+#[test]
+fn a_generation_that_leaves_no_room_for_successors_is_refused() {
+    let mut f = Fleet6::open(8);
+    let mut value = f.stored();
+    value["generation"] = json!(u64::MAX);
+    f.fleet.platform.force(CONFIGURATION_KEY, value);
+    f.fleet.wake_watches();
+    f.fleet.run_for(Millis::from_secs(7));
+    assert_eq!(f.generations(), [2; 6]);
+    let plan = f.plan(0, drain("fitting-svc-00"));
+    assert_eq!(f.confirm(1, &plan).status, 200);
+    // A peer that sends such a record is not believed either.
+    let mut cfg = Configuration::clone(&f.cfg(0));
+    cfg.generation = Generation(u64::MAX);
+    let record = Record {
+        cfg: cfg.into(),
+        ..Record::default()
+    };
+    let msg = IntentMessage::Body {
+        record: Box::new(record),
+    };
+    let envelope = Envelope {
+        from: f.fleet.nodes[1].vm.id.clone(),
+        incarnation: f.fleet.nodes[1].vm.incarnation,
+        to_incarnation: Incarnation(0),
+        msg: msg.into(),
+    };
+    f.fleet.event(0, Event::Peer(envelope));
+    f.fleet.run_for(Millis::from_secs(1));
+    assert_eq!(f.generations(), [3; 6]);
+}
+
 #[test]
 fn two_backend_servers_with_one_address_are_not_put_in_force() {
     let mut f = Fleet6::open(4);
