--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -38,6 +38,7 @@
     let mut registry = Registry::with_prefix(PREFIX);
     add_counters(&mut registry, engine, edge);
     add_peers(&mut registry, engine);
+    add_flows(&mut registry, engine);
     registry.register(
         "generation",
         "The generation of the configuration in force",
@@ -79,6 +80,40 @@
     registry.register("peers", "Other entry VMs by state", peers);
 }
 
+fn add_flows(registry: &mut Registry, engine: &Engine) {
+    let stats = engine.flow_stats();
+    let gauges = [
+        (
+            "flow_entries",
+            "Flows that are recorded here",
+            stats.entries,
+        ),
+        (
+            "flow_entry_bytes",
+            "Memory of the recorded flows",
+            stats.entry_bytes,
+        ),
+        (
+            "flow_changed_buckets",
+            "Buckets whose new flows have to be recorded or looked up",
+            stats.changed_buckets,
+        ),
+        (
+            "flow_wanted_buckets",
+            "Buckets whose pins this VM waits for",
+            stats.wanted_buckets,
+        ),
+        (
+            "flow_unready_services",
+            "Services whose history is not known yet",
+            stats.unready_services,
+        ),
+    ];
+    for (name, help, n) in gauges {
+        registry.register(name, help, ConstGauge::new(gauge(n as u64)));
+    }
+}
+
 fn gauge(n: u64) -> i64 {
     i64::try_from(n).unwrap_or(i64::MAX)
 }
