--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -22,6 +22,7 @@
     },
     edge::{
         counts::EdgeCounts,
+        in_flight::InFlight,
         log::note,
         mailbox::{
             ADMIN,
@@ -81,6 +82,7 @@
     seeds: Vec<Seed>,
     registry: Registry,
     counts: EdgeCounts,
+    in_flight: InFlight,
     /// How many events may wait.
     queue: usize,
     /// Whether a planned stop has been announced.
@@ -134,6 +136,7 @@
             seeds,
             registry: registry.clone(),
             counts: counts.clone(),
+            in_flight: InFlight::default(),
             queue: settings.limits.engine_queue,
             stopping: false,
             outlets: None,
@@ -163,10 +166,12 @@
         let Some(outlets) = &self.outlets else {
             return;
         };
+        self.in_flight.on_event(&event);
         let actions = self
             .engine
             .handle(self.clock.now(), self.clock.wall(), event);
         for action in actions {
+            self.in_flight.on_action(&action);
             if !carry_out(&self.engine, &self.seeds, outlets, action) {
                 self.counts.add(Counter::ActionOverflow);
             }
@@ -198,7 +203,7 @@
         Health {
             ready: self.engine.is_ready() && !self.stopping,
             idle: self.engine.is_idle(),
-            metrics: metrics::encode(&self.engine, &self.counts),
+            metrics: metrics::encode(&self.engine, &self.counts, &self.in_flight),
         }
     }
 }
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -1,5 +1,7 @@
 //! The metrics of the process in the text exposition format.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::{
     encoding::{
         EncodeLabelSet,
@@ -22,7 +24,10 @@
         engine::Engine,
         membership::MemberState, //
     },
-    edge::counts::EdgeCounts,
+    edge::{
+        counts::EdgeCounts,
+        in_flight::InFlight, //
+    },
 };
 
 /// What the names of all metrics begin with.
@@ -33,12 +38,24 @@
     state: &'static str,
 }
 
-/// Writes the metrics of `engine`, with the counts of the sockets added.
-pub fn encode(engine: &Engine, edge: &EdgeCounts) -> String {
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct BackendLabels {
+    service: String,
+    backend: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ServiceLabels {
+    service: String,
+}
+
+/// Writes the metrics of `engine`, with those of the sockets added.
+pub fn encode(engine: &Engine, edge: &EdgeCounts, in_flight: &InFlight) -> String {
     let mut registry = Registry::with_prefix(PREFIX);
     add_counters(&mut registry, engine, edge);
     add_peers(&mut registry, engine);
     add_flows(&mut registry, engine);
+    add_requests(&mut registry, engine, in_flight);
     registry.register(
         "generation",
         "The generation of the configuration in force",
@@ -114,6 +131,51 @@
     }
 }
 
+/// Adds the requests that this VM has open, and how evenly they are spread: the
+/// largest number at one backend server over the mean of its service.
+fn add_requests(registry: &mut Registry, engine: &Engine, in_flight: &InFlight) {
+    let by_backend = Family::<BackendLabels, Gauge>::default();
+    let imbalance = Family::<ServiceLabels, Gauge<f64, AtomicU64>>::default();
+    let open = in_flight.by_address();
+    let cfg = engine.configuration();
+    for service in &cfg.services {
+        let mut counts = Vec::new();
+        for backend in cfg.backends_of(&service.name) {
+            let count = open.get(&backend.requests).copied().unwrap_or(0);
+            let labels = BackendLabels {
+                service: service.name.to_string(),
+                backend: backend.name.to_string(),
+            };
+            by_backend.get_or_create(&labels).set(count);
+            counts.push(count);
+        }
+        let service = service.name.to_string();
+        let labels = ServiceLabels { service };
+        imbalance
+            .get_or_create(&labels)
+            .set(largest_over_mean(&counts));
+    }
+    registry.register(
+        "backend_requests_in_flight",
+        "Requests that this VM has open at a backend server",
+        by_backend,
+    );
+    registry.register(
+        "service_requests_imbalance",
+        "Largest over mean number of requests that this VM has open, 0 if none",
+        imbalance,
+    );
+}
+
+fn largest_over_mean(counts: &[i64]) -> f64 {
+    let sum: i64 = counts.iter().sum();
+    let largest = counts.iter().max().copied().unwrap_or(0);
+    if sum == 0 {
+        return 0.0;
+    }
+    largest as f64 * counts.len() as f64 / sum as f64
+}
+
 fn gauge(n: u64) -> i64 {
     i64::try_from(n).unwrap_or(i64::MAX)
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,6 +10,7 @@
 pub mod fabric;
 pub mod gue;
 pub mod headers;
+pub mod in_flight;
 pub mod log;
 pub mod mailbox;
 pub mod metrics;
--- a/tests/process_stop.rs
+++ b/tests/process_stop.rs
@@ -43,6 +43,17 @@
     })
 }
 
+/// Returns how many requests an entry VM says are open at backend servers.
+fn open_requests(admin: SocketAddr) -> u64 {
+    let text = http::get(admin, "/metrics").map_or_else(|_| String::new(), |r| r.body);
+    text.lines()
+        .filter_map(|line| {
+            let rest = line.strip_prefix("dragonflytrack_backend_requests_in_flight{")?;
+            rest.rsplit(' ').next()?.parse::<u64>().ok()
+        })
+        .sum()
+}
+
 #[test]
 fn a_planned_stop_ends_the_running_requests_first() {
     let spec = Spec {
@@ -57,8 +68,9 @@
     wait_until("the requests run", START_LIMIT, || {
         http::get(records, "/-/records").is_ok_and(|r| r.body.contains("\"stop\":3"))
     });
-    system.signal_vm(0, Signal::Terminate);
     let admin = system.vms[0].admin;
+    assert_eq!(open_requests(admin), 3);
+    system.signal_vm(0, Signal::Terminate);
     wait_until("readiness is withdrawn", Duration::from_secs(2), || {
         http::get(admin, "/readyz").is_ok_and(|r| r.status == 503)
     });
