--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -7,6 +7,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+# Tests that run separate processes need the binaries of all packages.
+cargo build --workspace
+
 skips=()
 if [ -f KNOWN-RED.txt ]; then
     while IFS='|' read -r name rest; do
@@ -19,6 +22,6 @@
 fi
 
 if [ ${#skips[@]} -eq 0 ]; then
-    exec cargo test --workspace
+    exec cargo test --workspace --no-fail-fast
 fi
-exec cargo test --workspace -- --exact "${skips[@]}"
+exec cargo test --workspace --no-fail-fast -- --exact "${skips[@]}"
--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -46,6 +46,8 @@
     1001 Started Info "The process has started.";
     1002 Stopping Info "A planned stop has begun.";
     1003 Stopped Info "The planned stop is complete.";
+    1004 StopTimedOut Error "The planned stop took too long and was cut short.";
+    1005 StopForced Warn "A second signal cut the planned stop short.";
     // 2000: membership.
     2001 PeerJoined Info "A VM has joined the view.";
     2002 PeerSuspected Warn "A VM is suspected because its heartbeats stopped.";
@@ -56,6 +58,13 @@
     3002 ConfigurationRefused Error "A configuration object was refused.";
     3003 PlatformUnreachable Warn "The platform does not answer.";
     3004 PlatformReachable Info "The platform answers again.";
+    3005 ConfigurationRepaired Warn "A bad or older record at the platform was replaced.";
+    3006 ConfigurationDiverged Error "A record differs from the one in force at the same generation.";
+    3007 PlanStored Info "A plan was stored.";
+    3008 PlanConfirmed Info "A plan was confirmed.";
+    3009 PlanRefused Warn "A plan or confirmation was refused.";
+    3010 PlanOutcomeUnknown Warn "The outcome of a confirmation could not be learnt.";
+    3011 RampAdvanced Info "A returning data centre's share was raised.";
     // 4000: flows.
     4001 FlowHistoryStarted Info "The flow history of a service starts at this VM.";
     4002 FlowHistoryReceived Info "The flow history of a service is complete.";
@@ -63,4 +72,8 @@
     4004 FlowChangeUnconfirmed Warn "New flows use the newest lookup tables; some VMs did not confirm in time.";
     // 5000: requests.
     // 6000: capacity.
+    6001 BackendFell Warn "A backend server is taken for cold.";
+    6002 OwnershipGained Info "This VM hands out the slots of a backend server.";
+    6003 OwnershipReleased Info "This VM has handed a backend server over.";
+    6004 OwnershipLapsed Warn "This VM lost a backend server because promises were not renewed.";
 }
--- /dev/null
+++ b/src/core/request/runner.rs
@@ -0,0 +1,278 @@
+//! Runs requests: slots, queues, attempts, retries and deadlines.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    core::{
+        action::Action,
+        capacity::{
+            Capacity,
+            Slot,
+            SlotReport,
+            SlotResult, //
+        },
+        counter::Counter,
+        cx::Cx,
+        names::ServiceId,
+        request::{
+            answer::{
+                Answer,
+                DEFAULT_RETRY_AFTER,
+                NotRunReason,
+                UnknownReason, //
+            },
+            attempt::{
+                AttemptId,
+                AttemptOutcome, //
+            },
+            budget::RetryBudget,
+            call::CallId,
+            job::{
+                Job,
+                Owner, //
+            },
+            latency::Latency,
+            outcome::{retry_counter, slot_result},
+            queue::Queues, //
+        },
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+
+#[derive(Debug)]
+pub(super) struct Running {
+    pub(super) job: Job,
+    pub(super) slot: Slot,
+    pub(super) started: Time,
+    /// The attempt is given up then.
+    pub(super) ends: Time,
+}
+
+/// What is kept for one service.
+#[derive(Debug, Default)]
+pub(super) struct PerService {
+    budget: RetryBudget,
+    latency: Latency,
+    pub(super) running: usize,
+}
+
+/// A request with its final answer.
+#[derive(Debug)]
+pub struct Finished {
+    /// Who gets the answer.
+    pub owner: Owner,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// Runs requests.
+#[derive(Debug, Default)]
+pub struct Runner {
+    pub(super) next_attempt: u64,
+    pub(super) running: BTreeMap<AttemptId, Running>,
+    pub(super) queues: Queues,
+    services: BTreeMap<ServiceId, PerService>,
+    finished: Vec<Finished>,
+}
+
+impl Runner {
+    /// Returns how many requests run or wait for a slot.
+    pub fn len(&self) -> usize {
+        self.running.len() + self.queues.len()
+    }
+
+    /// Tells whether no request runs or waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the requests that ended since the last call.
+    pub fn take_finished(&mut self) -> Vec<Finished> {
+        std::mem::take(&mut self.finished)
+    }
+
+    /// Runs a request.
+    pub fn start(&mut self, cx: &mut Cx<'_>, capacity: &mut Capacity, job: Job) {
+        if job.deadline <= cx.now {
+            self.fail(job, NotRunReason::DeadlinePassed);
+            return;
+        }
+        if cx.cfg.service(&job.service).is_none() {
+            self.fail(job, NotRunReason::NoService);
+            return;
+        }
+        self.service(&job.service).budget.on_first_attempt();
+        if self.queues.len_of(&job.service) > 0 {
+            self.enqueue(cx, job);
+            return;
+        }
+        self.try_once(cx, capacity, job);
+    }
+
+    /// Cancels the request of a caller who no longer waits.
+    pub fn cancel(&mut self, cx: &mut Cx<'_>, capacity: &mut Capacity, call: CallId) -> bool {
+        if self.queues.take_call(call).is_some() {
+            return true;
+        }
+        let mut attempts = self.running.iter();
+        let found = attempts.find(|(_, r)| r.job.owner == Owner::Call(call));
+        let Some(id) = found.map(|(id, _)| *id) else {
+            return false;
+        };
+        cx.act(Action::CancelAttempt(id));
+        if let Some(running) = self.running.remove(&id) {
+            self.release(cx, capacity, &running, SlotResult::Lost, None);
+        }
+        self.drain_queues(cx, capacity);
+        true
+    }
+
+    /// Takes in the end of an attempt.
+    pub fn on_outcome(
+        &mut self,
+        cx: &mut Cx<'_>,
+        capacity: &mut Capacity,
+        id: AttemptId,
+        outcome: AttemptOutcome,
+    ) {
+        let Some(running) = self.running.remove(&id) else {
+            cx.count(Counter::AttemptOutcomeLate);
+            return;
+        };
+        let run = match &outcome {
+            AttemptOutcome::Answered(response) => response.backend_run(),
+            _ => None,
+        };
+        self.release(cx, capacity, &running, slot_result(&outcome), run);
+        match outcome {
+            AttemptOutcome::Answered(response) => {
+                let elapsed = cx.now.since(running.started);
+                let service = self.service(&running.job.service);
+                service.latency.observe(elapsed);
+                self.finish(running.job, Answer::Answered(response));
+            }
+            failure => {
+                let mut job = running.job;
+                job.on_failure(running.slot.backend, &failure);
+                self.retry(cx, capacity, job, retry_counter(&failure));
+            }
+        }
+        self.drain_queues(cx, capacity);
+    }
+
+    /// Gives up attempts at backend servers whose data centre is out.
+    pub fn on_configuration(&mut self, cx: &mut Cx<'_>, capacity: &mut Capacity) {
+        let is_out = |r: &Running| {
+            let backend = cx.cfg.backend(&r.slot.backend);
+            backend.is_some_and(|b| cx.cfg.is_out(b))
+        };
+        let out = self.ids(is_out);
+        for id in out {
+            self.give_up(cx, capacity, id, UnknownReason::DataCentreOut);
+        }
+        self.drain_queues(cx, capacity);
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, cx: &mut Cx<'_>, capacity: &mut Capacity) {
+        let now = cx.now;
+        for id in self.ids(|r| r.ends <= now) {
+            self.give_up(cx, capacity, id, UnknownReason::Timeout);
+        }
+        for job in self.queues.take_expired(now) {
+            let reason = if job.deadline <= now {
+                NotRunReason::DeadlinePassed
+            } else {
+                NotRunReason::NoSlot
+            };
+            self.fail(job, reason);
+        }
+        self.drain_queues(cx, capacity);
+    }
+
+    /// Starts waiting requests as far as slots can be acquired.
+    pub fn drain_queues(&mut self, cx: &mut Cx<'_>, capacity: &mut Capacity) {
+        for service in self.queues.services() {
+            while self.start_first(cx, capacity, &service) {}
+        }
+    }
+
+    fn give_up(
+        &mut self,
+        cx: &mut Cx<'_>,
+        capacity: &mut Capacity,
+        id: AttemptId,
+        reason: UnknownReason,
+    ) {
+        cx.act(Action::CancelAttempt(id));
+        self.on_outcome(cx, capacity, id, AttemptOutcome::Unknown(reason));
+    }
+
+    fn retry(&mut self, cx: &mut Cx<'_>, capacity: &mut Capacity, job: Job, counter: Counter) {
+        let in_time = job.deadline > cx.now;
+        if !in_time || !job.may_retry() {
+            self.fail(job, NotRunReason::DeadlinePassed);
+            return;
+        }
+        if !self.service(&job.service).budget.take() {
+            cx.count(Counter::RequestRetryDenied);
+            self.fail(job, NotRunReason::NoSlot);
+            return;
+        }
+        cx.count(counter);
+        self.try_once(cx, capacity, job);
+    }
+
+    fn release(
+        &mut self,
+        cx: &mut Cx<'_>,
+        capacity: &mut Capacity,
+        running: &Running,
+        result: SlotResult,
+        backend_run: Option<u64>,
+    ) {
+        let service = self.service(&running.job.service);
+        service.running = service.running.saturating_sub(1);
+        let report = SlotReport {
+            result,
+            elapsed: cx.now.since(running.started),
+            backend_run,
+        };
+        capacity.release(cx, &running.slot, report);
+    }
+
+    pub(super) fn fail(&mut self, job: Job, reason: NotRunReason) {
+        let waiting = self.queues.len_of(&job.service);
+        let retry_after = self
+            .services
+            .get(&job.service)
+            .and_then(|service| service.latency.retry_after(waiting, service.running));
+        let answer = job.failed(reason, retry_after.unwrap_or(DEFAULT_RETRY_AFTER));
+        self.finish(job, answer);
+    }
+
+    pub(super) fn expected_wait(&self, service: &ServiceId) -> Millis {
+        let waiting = self.queues.len_of(service);
+        self.services.get(service).map_or(Millis(0), |service| {
+            service.latency.expected_wait(waiting, service.running)
+        })
+    }
+
+    fn finish(&mut self, job: Job, answer: Answer) {
+        let owner = job.owner;
+        self.finished.push(Finished { owner, answer });
+    }
+
+    /// Returns what is kept for `service`, which has been checked to exist.
+    pub(super) fn service(&mut self, service: &ServiceId) -> &mut PerService {
+        self.services.entry(service.clone()).or_default()
+    }
+
+    fn ids(&self, wanted: impl Fn(&Running) -> bool) -> Vec<AttemptId> {
+        let wanted = self.running.iter().filter(|(_, r)| wanted(r));
+        wanted.map(|(id, _)| *id).collect()
+    }
+}
