Find lost answers in histories, and log what a planned stop leaves

Cause: every caller of the histories hung up 100 ms after its deadline, which the checker counts as gone, so no history could show a lost answer. Every other caller now waits 20 s longer, beyond any freeze, and what it has not got by then is a lost answer. Nothing told operators that a planned stop had ended before another VM had taken the tickets.

--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -71,6 +71,8 @@
     4003 FlowChangeActivated Info "New flows use the newest lookup tables; all VMs were told before.";
     4004 FlowChangeUnconfirmed Warn "New flows use the newest lookup tables; some VMs did not confirm in time.";
     // 5000: requests.
+    5001 TicketsTakenOver Info "This VM decides about the tickets of a VM that stops.";
+    5002 TicketsLost Warn "A planned stop ended before another VM had taken all tickets and answers.";
     // 6000: capacity.
     6001 BackendFell Warn "A backend server is taken for cold.";
     6002 OwnershipGained Info "This VM hands out the slots of a backend server.";
--- a/src/core/request/handover.rs
+++ b/src/core/request/handover.rs
@@ -6,6 +6,7 @@
     core::{
         cx::Cx,
         membership::Member,
+        notice::Notice,
         request::{
             answer::Answer,
             export::TableExport,
@@ -103,7 +104,10 @@
         if busy {
             self.quiet_since = cx.now;
         }
-        self.over |= cx.now.since(self.quiet_since) >= LIMIT;
+        if !self.is_over() && cx.now.since(self.quiet_since) >= LIMIT {
+            self.over = true;
+            cx.note(Notice::TicketsLost, self.to.to_string());
+        }
         if cx.now < self.next_send || self.is_over() {
             return;
         }
--- a/src/core/request/takeover.rs
+++ b/src/core/request/takeover.rs
@@ -4,6 +4,7 @@
     counter::Counter,
     cx::Cx,
     names::VmId,
+    notice::Notice,
     request::{
         Answer,
         Issuer,
@@ -66,6 +67,7 @@
         let to = giver.vm.clone();
         if self.tickets.adopt(cx.now, issuer.clone(), giver, table) {
             cx.count(Counter::TicketTableTakenOver);
+            cx.note(Notice::TicketsTakenOver, issuer.to_string());
             self.tickets.announce(cx);
         }
         cx.send(&to, RequestMessage::TakenOver { issuer });
--- a/testkit/src/caller.rs
+++ b/testkit/src/caller.rs
@@ -36,9 +36,12 @@
     },
 };
 
-/// How long after its deadline a caller hangs up.
+/// How long after its deadline every other caller hangs up.
 const PATIENCE: Millis = Millis(100);
 
+/// How long after its deadline a patient caller takes its answer for lost.
+const LONG_PATIENCE: Millis = Millis::from_secs(20);
+
 /// How often a caller sends a request in all.
 const MAX_TRIES: u32 = 6;
 
@@ -61,6 +64,15 @@
     tries: u32,
 }
 
+impl Op {
+    fn patience(&self) -> Millis {
+        match self.id.0.is_multiple_of(2) {
+            true => PATIENCE,
+            false => LONG_PATIENCE,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Open {
     op: Op,
@@ -212,11 +224,14 @@
         let is_over = |sent: &Sent, open: &Open| {
             let node = &fleet.nodes[sent.vm];
             let lost = node.engine.is_none() || node.vm.incarnation != open.run;
-            lost || now >= open.deadline + PATIENCE
+            lost || now >= open.deadline + open.op.patience()
         };
         let over = self.open.extract_if(.., |sent, open| is_over(sent, open));
         for (sent, open) in over.collect::<Vec<_>>() {
-            self.history.records.push(Record::Left { sent });
+            let in_time = now < open.deadline + LONG_PATIENCE;
+            if in_time {
+                self.history.records.push(Record::Left { sent });
+            }
             fleet.event(sent.vm, Event::CallGone(sent.call));
             self.repeat(fleet, open.op);
         }
--- a/tests/request_history.rs
+++ b/tests/request_history.rs
@@ -126,7 +126,9 @@
         fleet.run_for(STEP);
         callers.step(&mut fleet);
     }
-    for _ in 0..2_000 {
+    // Longer than any freeze, so that late events arrive as well.
+    let quiet = fleet.now + Millis::from_secs(16);
+    while fleet.now < quiet || callers.open_requests() > 0 {
         fleet.run_for(STEP);
         callers.step(&mut fleet);
     }
--- a/tests/request_tickets.rs
+++ b/tests/request_tickets.rs
@@ -15,6 +15,7 @@
             ServiceId,
             VmId, //
         },
+        notice::Notice,
         request::{
             Answer,
             Call,
@@ -302,6 +303,21 @@
     assert_eq!(runs(&fleet), 2);
 }
 
+#[test]
+fn a_planned_stop_ends_though_nobody_takes_the_tickets() {
+    let mut fleet = fleet();
+    ticket(&mut fleet, 0);
+    for vm in 1..6 {
+        fleet.links.cut("vm0", &format!("vm{vm}"));
+    }
+    fleet.stop(0);
+    fleet.run_for(Millis::from_secs(4));
+    let is_idle = fleet.nodes[0].engine.as_ref().is_some_and(|e| e.is_idle());
+    assert!(is_idle, "the planned stop does not end");
+    let mut notices = fleet.notes.iter().filter(|n| n.vm == 0);
+    assert!(notices.any(|n| n.notice == Notice::TicketsLost));
+}
+
 #[test]
 fn a_stopping_vm_says_not_run_only_of_what_has_no_ticket() {
     let mut fleet = fleet();
