--- a/src/core/intent/mod.rs
+++ b/src/core/intent/mod.rs
@@ -5,7 +5,8 @@
 //! - [`record`] is the platform object that holds the configuration in force.
 //! - [`validation`] checks the objects of a configuration.
 //! - [`change`] turns an intent into the configuration that follows from it.
-//! - [`plan`] shows what that changes and what it puts at risk.
+//! - [`plan`] shows what that changes, from [`diff`], and what it does to
+//!   running work, from [`impact`].
 //! - [`ramp`] returns a data centre step by step.
 //! - [`projection`] shows each object at the platform with its status.
 //! - [`relay`] carries the record between the VMs.
@@ -26,6 +27,8 @@
 mod calls;
 pub mod change;
 mod confirming;
+pub mod diff;
+pub mod impact;
 mod in_force;
 mod mend;
 pub mod operation;
@@ -41,6 +44,7 @@
 mod repair;
 pub mod showing;
 pub mod status;
+pub mod usage;
 pub mod validation;
 
 pub use admin::AdminCall;
@@ -49,7 +53,6 @@
 pub use admin::AdminReply;
 pub use change::Intent;
 pub use plan::Plan;
-pub use plan::Usage;
 pub use platform::CONFIGURATION_KEY;
 pub use platform::PlatformCall;
 pub use platform::PlatformCallId;
@@ -58,6 +61,7 @@
 pub use platform::StoredObject;
 pub use record::Record;
 pub use relay::IntentMessage;
+pub use usage::Usage;
 
 use admin::Reply;
 use calls::{
--- a/src/core/intent/operation.rs
+++ b/src/core/intent/operation.rs
@@ -16,7 +16,6 @@
                 Purpose, //
             },
             confirming::Confirming,
-            plan::Usage,
             planning::Planning,
             platform::{
                 PlatformCallId,
@@ -24,6 +23,7 @@
                 PlatformOutcome, //
             },
             showing::Showing,
+            usage::Usage,
         },
     },
     kernel::clock::{
--- a/src/core/intent/planning.rs
+++ b/src/core/intent/planning.rs
@@ -16,10 +16,7 @@
             IntentError, //
         },
         operation::Next,
-        plan::{
-            Plan,
-            Usage, //
-        },
+        plan::Plan,
         platform::{
             MAX_OBJECT,
             PlatformOp,
@@ -27,6 +24,7 @@
             StoredObject, //
         },
         record::Record,
+        usage::Usage,
         validation::check,
     },
     names::PlanId,
--- a/src/core/intent/status.rs
+++ b/src/core/intent/status.rs
@@ -19,14 +19,14 @@
         cx::Cx,
         intent::{
             in_force::InForce,
-            plan::{
-                BackendUsage,
-                Usage, //
-            },
             record::{
                 ConfirmedPlan,
                 RefusedObject, //
             },
+            usage::{
+                BackendUsage,
+                Usage, //
+            },
         },
         membership::{
             Member,
