Tell half of a chunked answer from a whole one

On the stream to a backend server the end of the data now is an error, which the client passes on.

Ruled out: checking the body afterwards (the client drops the chunk frames) and another HTTP client (more than this needs). An answer whose length only the end of its connection tells cannot be told from a broken one and counts as lost.

Before: a_chunked_answer_that_breaks_off_leaves_the_outcome_unknown fails.

--- a/src/edge/backends.rs
+++ b/src/edge/backends.rs
@@ -15,6 +15,7 @@
     SpawnHandle,
     WrapFuture, //
 };
+use actix_service::ServiceExt;
 use awc::{
     Client, Connector,
     error::{
@@ -55,6 +56,7 @@
             ENGINE,
             EngineEvent, //
         },
+        strict_stream, //
     },
     kernel::{
         clock::Clock,
@@ -125,7 +127,9 @@
 }
 
 fn client() -> Client {
+    let tcp = actix_tls::connect::Connector::default().service();
     let connector = Connector::new()
+        .connector(tcp.map(strict_stream::wrap))
         .timeout(CONNECT_TIMEOUT)
         .limit(MAX_CONNECTIONS);
     // A redirection is the caller's to follow. Following it here could run a
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -16,3 +16,4 @@
 pub mod metrics;
 pub mod peers;
 pub mod platform;
+pub mod strict_stream;
