--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -27,7 +27,8 @@
             AdminCall,
             Intents,
             PlatformCallId,
-            PlatformOutcome, //
+            PlatformOutcome,
+            Usage, //
         },
         membership::{
             Membership,
@@ -164,9 +165,10 @@
         &self.counters
     }
 
-    /// Tells whether the VM may serve: a configuration is in force.
+    /// Tells whether the VM may serve: a configuration is in force and slots
+    /// can be acquired.
     pub fn is_ready(&self) -> bool {
-        self.configuration().generation > Generation::default()
+        self.configuration().generation > Generation::default() && self.machines.capacity.is_ready()
     }
 
     /// Tells whether nothing is left to do before the process may exit.
@@ -224,7 +226,11 @@
                     .on_outcome(cx, &mut self.capacity, id, outcome);
             }
             Event::PlatformDone(id, outcome) => self.intents.on_platform(cx, id, outcome),
-            Event::Admin(call) => self.intents.on_admin(cx, call),
+            Event::Admin(call) => {
+                let usage = Usage::count_requests(cx.cfg, self.requests.running_on());
+                self.intents.set_usage(usage);
+                self.intents.on_admin(cx, call);
+            }
             Event::Stop => self.stop(cx),
         }
     }
