Count a request as refused only if "not run" was its last word

A trial with an entry VM frozen for 20 s (tests/process_failures.rs with 20 s in place of 5 s) reported five requests as "called not run and ran". Callers that gave up after 15 s counted a request as refused by default, even when its last answer was a lost connection, so nobody had said "not run": the check was wrong. A request with a ticket whose last answer was lost is unknown now; a false "not run" and a second run are caught as before.

--- a/emulator/src/callers/requests.rs
+++ b/emulator/src/callers/requests.rs
@@ -81,7 +81,7 @@
     pub(super) idempotent: bool,
     /// The refusals that it got.
     pub(super) refusals: Vec<String>,
-    /// How it ended.
+    /// How it ended. Until then, how it would end without another answer.
     pub(super) end: RequestEnd,
 }
 
@@ -179,6 +179,7 @@
             Reply::NotRun { why, wait } => {
                 // The request did not run, so that a new ticket is safe.
                 self.ticket = None;
+                self.request.end = RequestEnd::Refused;
                 self.request.refusals.push(why);
                 Next::Repeat(wait)
             }
@@ -189,10 +190,14 @@
             // Either the request may run twice, or its ticket lets it run once,
             // or it had no ticket and so did not run.
             Reply::ConnectionLost => {
+                if self.request.idempotent || self.ticket.is_some() {
+                    self.request.end = RequestEnd::Unknown;
+                }
                 self.request.refusals.push("connection lost".to_owned());
                 Next::Repeat(RECONNECT_INTERVAL)
             }
             Reply::Unknown(why) => {
+                self.request.end = RequestEnd::Unknown;
                 self.request.refusals.push(why);
                 self.unknown += 1;
                 // A ticket lets the request run once, however often it comes.
