--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod cold;
 pub mod fleet;
+pub mod flow_check;
 pub mod flow_load;
 pub mod history;
 pub mod links;
