Let many cells share one platform

Cause: the configuration had one fixed name at the platform, so a fleet of many cells, which the two-year size needs, could not have a record for each.

[platform] cell names the VMs that share one configuration; all their objects carry the name. The core keeps its names, the mapping is at the edge.

Shown by tests/settings_problems the_objects_of_a_cell_carry_its_name.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -133,7 +133,7 @@
     let counts = EdgeCounts::default();
     EngineService::spawn(me, settings, clock, &counts, registry);
     Backends::spawn(clock, registry).map_err(io::Error::other)?;
-    Platform::spawn(settings.platform, registry).map_err(io::Error::other)?;
+    Platform::spawn(settings.platform.clone(), registry).map_err(io::Error::other)?;
     let queue = settings.limits.peer_queue;
     Peers::bind(settings.peers, queue, &counts, registry)?;
     let (fabric, relay) = (settings.fabric, settings.relay);
--- a/src/edge/backends.rs
+++ b/src/edge/backends.rs
@@ -17,7 +17,8 @@
 };
 use actix_service::ServiceExt;
 use awc::{
-    Client, Connector,
+    Client,
+    Connector,
     error::{
         ConnectError,
         SendRequestError, //
@@ -26,7 +27,7 @@
         Method,
         StatusCode,
         header::CONTENT_LENGTH, //
-    },
+    }, //
 };
 use bytes::Bytes;
 
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -26,14 +26,15 @@
     Recipient, //
 };
 use nng::{
-    Protocol, Socket,
+    Protocol,
+    Socket,
     options::{
         Options,
         ReconnectMaxTime,
         ReconnectMinTime,
         RecvMaxSize,
         SendBufferSize, //
-    },
+    }, //
 };
 
 use crate::{
--- a/src/edge/platform.rs
+++ b/src/edge/platform.rs
@@ -1,7 +1,7 @@
 //! Calls to the platform's object API, over HTTP with JSON.
 
 use std::{
-    net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -15,14 +15,16 @@
     WrapFuture, //
 };
 use awc::{
-    Client, ClientRequest, ClientResponse,
+    Client,
+    ClientRequest,
+    ClientResponse,
     http::{
         StatusCode,
         header::{
             IF_MATCH,
             IF_NONE_MATCH, //
-        },
-    },
+        }, //
+    }, //
 };
 
 use crate::{
@@ -46,6 +48,7 @@
         Registry,
         RegistryError, //
     },
+    settings,
 };
 
 /// The room for an object's version and quotes around its value, in bytes.
@@ -54,7 +57,7 @@
 /// The service that calls the platform.
 pub struct Platform {
     client: Client,
-    address: SocketAddr,
+    place: Arc<settings::Platform>,
     engine: Recipient<EngineEvent>,
 }
 
@@ -64,10 +67,10 @@
     /// # Errors
     ///
     /// Fails if the engine is not registered.
-    pub fn spawn(address: SocketAddr, registry: &Registry) -> Result<(), RegistryError> {
+    pub fn spawn(place: settings::Platform, registry: &Registry) -> Result<(), RegistryError> {
         let service = Platform {
             client: Client::builder().disable_timeout().finish(),
-            address,
+            place: Arc::new(place),
             engine: registry.find::<EngineEvent>(ENGINE)?,
         };
         registry.register(PLATFORM, service.start().recipient::<PlatformOut>());
@@ -84,7 +87,7 @@
 
     fn handle(&mut self, msg: PlatformOut, cx: &mut Context<Platform>) {
         let id = msg.0.id;
-        let work = call(self.client.clone(), self.address, msg.0.op)
+        let work = call(self.client.clone(), Arc::clone(&self.place), msg.0.op)
             .into_actor(self)
             .map(move |outcome, service, _| {
                 service
@@ -95,9 +98,9 @@
     }
 }
 
-async fn call(client: Client, address: SocketAddr, op: PlatformOp) -> PlatformOutcome {
+async fn call(client: Client, place: Arc<settings::Platform>, op: PlatformOp) -> PlatformOutcome {
     let limit = Duration::from_millis(ANSWER_TIMEOUT.0) + watch_time(&op);
-    match actix_rt::time::timeout(limit, send(&client, address, &op)).await {
+    match actix_rt::time::timeout(limit, send(&client, &place, &op)).await {
         Ok(Some(outcome)) => outcome,
         Ok(None) | Err(_) => PlatformOutcome::NoAnswer,
     }
@@ -111,8 +114,12 @@
 }
 
 /// Returns `None` if there was no answer that can be relied on.
-async fn send(client: &Client, address: SocketAddr, op: &PlatformOp) -> Option<PlatformOutcome> {
-    let url = format!("http://{address}/v1/objects/{key}", key = op.key());
+async fn send(
+    client: &Client,
+    place: &settings::Platform,
+    op: &PlatformOp,
+) -> Option<PlatformOutcome> {
+    let url = object_url(place, op.key());
     let sent = match op {
         PlatformOp::Get { .. } => client.get(url).send().await,
         PlatformOp::Put { version, value, .. } => {
@@ -130,6 +137,18 @@
     read(sent.ok()?).await
 }
 
+/// Returns the URL of the object `key`, which is a kind and a name. The objects
+/// of a cell carry its name, so that cells that share a platform do not meet.
+pub fn object_url(place: &settings::Platform, key: &str) -> String {
+    let address = place.address;
+    match (&place.cell, key.split_once('/')) {
+        (Some(cell), Some((kind, name))) => {
+            format!("http://{address}/v1/objects/{kind}/{cell}.{name}")
+        }
+        _ => format!("http://{address}/v1/objects/{key}"),
+    }
+}
+
 /// Version zero stands for an object that must not exist.
 fn conditional(req: ClientRequest, version: u64) -> ClientRequest {
     match version {
--- a/src/settings/clash.rs
+++ b/src/settings/clash.rs
@@ -26,7 +26,7 @@
         place("listen", "callers", settings.callers),
         place("listen", "peers", settings.peers),
         place("listen", "admin", settings.admin),
-        place("platform", "address", settings.platform),
+        place("platform", "address", settings.platform.address),
     ];
     check_group(rx, &udp);
     check_group(rx, &tcp);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -37,6 +37,7 @@
     Log,
     ModuleLevel, //
 };
+pub use platform::Platform;
 pub use problem::{
     Problem,
     SettingsError, //
@@ -65,8 +66,8 @@
     pub admin: SocketAddr,
     /// The UDP address that takes packets to callers.
     pub replies: SocketAddr,
-    /// The platform's HTTP address.
-    pub platform: SocketAddr,
+    /// Where the platform is.
+    pub platform: Platform,
     /// Where other VMs may be found.
     pub seeds: Vec<Seed>,
     /// What is logged and how.
--- a/tests/settings_problems.rs
+++ b/tests/settings_problems.rs
@@ -1,6 +1,7 @@
 //! Settings that make no sense are refused whole, with every problem named.
 
 use dragonflytrack::{
+    edge::platform::object_url,
     kernel::clock::Millis,
     settings::{
         Format,
@@ -93,6 +94,19 @@
     assert!(twice.contains("[peers]"), "{twice}");
 }
 
+#[test]
+fn the_objects_of_a_cell_carry_its_name() {
+    let text = SAMPLE.replace("[platform]", "[platform]\ncell = north-1");
+    let mut place = Settings::parse(&text).unwrap().platform;
+    let key = "configurations/current";
+    let url = object_url(&place, key);
+    assert!(url.ends_with("/v1/objects/configurations/north-1.current"));
+    place.cell = None;
+    assert!(object_url(&place, key).ends_with("/v1/objects/configurations/current"));
+    let slash = only_text("[platform]", "[platform]\ncell = north/1");
+    assert!(slash.contains("letters, digits and hyphens"), "{slash}");
+}
+
 #[test]
 fn all_problems_are_reported_at_once() {
     let found = problems(
