--- a/src/core/flow/mod.rs
+++ b/src/core/flow/mod.rs
@@ -38,6 +38,7 @@
 pub mod homes;
 pub mod message;
 pub mod packet;
+mod pinning;
 pub mod relay;
 pub mod reply;
 pub mod service;
