--- a/src/core/capacity/allowance.rs
+++ b/src/core/capacity/allowance.rs
@@ -32,11 +32,8 @@
 /// The weight of a new sample in the recent time of an answer.
 const RECENT_WEIGHT: f64 = 0.25;
 
-/// The weight of a new sample that lengthens the usual time of an answer.
-const LENGTHENING_WEIGHT: f64 = 1.0 / 64.0;
-
-/// The weight of a new sample that shortens the usual time of an answer.
-const SHORTENING_WEIGHT: f64 = 1.0 / 8.0;
+/// The weight of a new sample in the usual time of an answer.
+const USUAL_WEIGHT: f64 = 1.0 / 32.0;
 
 /// Why the allowance of a backend server fell back to one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -157,12 +154,7 @@
             self.recent = None;
             return true;
         }
-        let weight = if sample < usual {
-            SHORTENING_WEIGHT
-        } else {
-            LENGTHENING_WEIGHT
-        };
-        self.usual = Some(average(self.usual, sample, weight));
+        self.usual = Some(average(self.usual, sample, USUAL_WEIGHT));
         false
     }
 
--- a/src/core/capacity/loans.rs
+++ b/src/core/capacity/loans.rs
@@ -5,7 +5,7 @@
 use crate::{
     core::{
         capacity::{
-            LONG_RUN, RUN_LIMIT, SlotReport, SlotResult,
+            LONG_RUN, MIN_REMAINING, RUN_LIMIT, SlotReport, SlotResult,
             message::{
                 AskId,
                 CapacityMessage,
@@ -30,9 +30,6 @@
 /// How long an idle loan is kept for the next request.
 const IDLE_LOAN: Millis = Millis(20);
 
-/// A loan that ends sooner than this is not used again.
-pub const MIN_REMAINING: Millis = Millis(700);
-
 /// How often a lender is told which of its loans are held.
 const HOLDING_INTERVAL: Millis = Millis(500);
 
--- a/src/core/capacity/mod.rs
+++ b/src/core/capacity/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod allowance;
 pub mod book;
+mod index;
 pub mod loans;
 pub mod message;
 mod owner;
@@ -57,6 +58,11 @@
 /// The largest difference between the wall clocks of two machines.
 pub const CLOCK_SKEW: Millis = Millis(500);
 
+/// A lease that ends sooner than this starts no request.
+///
+/// Invariant: longer than [`CLOCK_SKEW`], so that [`Slot::until`] lies ahead.
+const MIN_REMAINING: Millis = Millis(700);
+
 /// The longest time that a request may run on a backend server.
 pub const RUN_LIMIT: Millis = Millis::from_secs(30);
 
@@ -222,6 +228,7 @@
     /// Does what has become due.
     pub fn tick(&mut self, cx: &mut Cx<'_>) {
         self.waiting.clear();
+        self.owner.follow(cx);
         self.owner.tick(cx);
         if !self.is_ready {
             self.note_readiness(cx);
--- a/src/core/capacity/owner.rs
+++ b/src/core/capacity/owner.rs
@@ -5,7 +5,7 @@
 use crate::{
     core::{
         capacity::{
-            RUN_BITS, SlotReport,
+            MIN_REMAINING, RUN_BITS, SlotReport,
             allowance::{
                 Allowance,
                 Fall, //
@@ -16,6 +16,7 @@
                 Holding,
                 LOAN_SPAN, //
             },
+            index::Index,
             message::{
                 AskId,
                 CapacityMessage,
@@ -37,6 +38,7 @@
         cx::Cx,
         names::{
             BackendId,
+            Generation,
             Incarnation,
             VmId, //
         },
@@ -61,7 +63,10 @@
 /// The part of an owner.
 #[derive(Debug, Default)]
 pub struct Owner {
+    index: Index,
     ownership: Ownership,
+    /// The view and the configuration by which books were last opened.
+    opened_by: Option<(u64, Generation)>,
     next_lease: u64,
     books: BTreeMap<BackendId, Book>,
     /// When backend servers were given up.
@@ -78,6 +83,16 @@
             .map(|(id, _)| id)
     }
 
+    /// Follows the configuration in force.
+    pub fn follow(&mut self, cx: &Cx<'_>) {
+        self.index.follow(cx.cfg);
+    }
+
+    /// Returns the index of the configuration in force.
+    pub fn index(&self) -> &Index {
+        &self.index
+    }
+
     /// Tells whether this VM owns `backend`.
     pub fn owns(&self, backend: &BackendId) -> bool {
         self.books.get(backend).is_some_and(|b| b.is_held)
@@ -85,10 +100,11 @@
 
     /// Takes in a new configuration.
     pub fn on_configuration(&mut self, cx: &mut Cx<'_>) {
+        self.follow(cx);
         for (id, book) in &mut self.books {
-            let share = cx
-                .cfg
-                .backend(id)
+            let share = self
+                .index
+                .backend(cx.cfg, id)
                 .map_or(0, |backend| cx.cfg.new_work_share(backend));
             if share == 0 {
                 // It may have become cold by the time it takes work again.
@@ -190,7 +206,7 @@
     }
 
     fn load_of(&self, cx: &Cx<'_>, backend: &BackendId) -> Load {
-        let backend = cx.cfg.backend(backend);
+        let backend = self.index.backend(cx.cfg, backend);
         backend.map_or_else(Load::default, |b| self.load(cx, b))
     }
 
@@ -199,7 +215,7 @@
     pub fn grant_own(&mut self, cx: &Cx<'_>, backend: &BackendId) -> Option<(LeaseId, Time)> {
         let load = self.load_of(cx, backend);
         let until = self.ownership.lease_end(cx, backend, true)?;
-        if load.leased >= load.open {
+        if load.leased >= load.open || until < cx.now + MIN_REMAINING {
             return None;
         }
         let id = self.next_lease_id(cx);
@@ -289,7 +305,7 @@
     }
 
     fn report(&mut self, cx: &mut Cx<'_>, backend: &BackendId, report: &SlotReport) {
-        let slots = cx.cfg.backend(backend).map_or(0, |b| b.slots);
+        let slots = self.index.backend(cx.cfg, backend).map_or(0, |b| b.slots);
         let Some(book) = self.books.get_mut(backend) else {
             return;
         };
@@ -364,7 +380,7 @@
     }
 
     fn is_to_be_released(&self, cx: &Cx<'_>, id: &BackendId) -> bool {
-        let Some(backend) = cx.cfg.backend(id) else {
+        let Some(backend) = self.index.backend(cx.cfg, id) else {
             return true;
         };
         let me = &cx.view.me.id;
@@ -407,6 +423,11 @@
         if self.is_stopping || self.ownership.is_recovering(cx.now) {
             return;
         }
+        let opened_by = Some((cx.view.version, cx.cfg.generation));
+        if self.opened_by == opened_by {
+            return;
+        }
+        self.opened_by = opened_by;
         let me = &cx.view.me;
         for backend in &cx.cfg.backends {
             if backend.data_centre != me.data_centre || self.books.contains_key(&backend.name) {
--- a/src/core/capacity/select.rs
+++ b/src/core/capacity/select.rs
@@ -82,8 +82,11 @@
             return Err(NoSlot::Asked);
         }
         let cfg = cx.cfg;
-        let eligible: Eligible<'_> = cfg
-            .backends_of(service)
+        self.owner.follow(cx);
+        let eligible: Eligible<'_> = self
+            .owner
+            .index()
+            .backends_of(cfg, service)
             .filter(|b| cfg.new_work_share(b) > 0 && !tried.contains(&b.name))
             .collect();
         if eligible.is_empty() {
--- a/testkit/src/cold.rs
+++ b/testkit/src/cold.rs
@@ -63,6 +63,8 @@
     pub bears: u32,
     /// What makes it warm.
     pub warming: Warming,
+    /// Whether it refuses what it does not bear. If not, it runs it slowly.
+    pub sheds: bool,
     /// Whether its answers name its run.
     pub names_run: bool,
     /// Its run.
@@ -96,6 +98,7 @@
             slots,
             bears: slots,
             warming: Warming::Answers(4),
+            sheds: true,
             names_run: true,
             run: 1,
             running: Vec::new(),
@@ -149,10 +152,15 @@
         }
         if running >= self.bears {
             self.strain(now);
-            return Reception::Sheds;
+            if !self.is_up(now) {
+                return Reception::Unreachable;
+            }
+            if self.sheds || running >= self.slots {
+                return Reception::Sheds;
+            }
         }
         let slowness = if self.bears < self.slots {
-            COLD_SLOWNESS
+            COLD_SLOWNESS * u64::from(running.max(self.bears) + 1) / u64::from(self.bears + 1)
         } else {
             1
         };
--- a/tests/capacity_cold.rs
+++ b/tests/capacity_cold.rs
@@ -2,6 +2,11 @@
 
 use dragonflytrack::{
     core::{
+        capacity::{
+            SlotReport,
+            SlotResult,
+            allowance::Allowance, //
+        },
         configuration::{
             Configuration,
             DataCentreState, //
@@ -13,7 +18,10 @@
             ServiceId, //
         },
     },
-    kernel::clock::Millis,
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
 };
 use dragonflytrack_testkit::{
     cold::{
@@ -27,6 +35,12 @@
     },
 };
 
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+
 const SERVICE_TIME: Millis = Millis(100);
 
 const LAGGING: LoadReport = LoadReport::Lagging(Millis::from_secs(10));
@@ -57,24 +71,35 @@
 #[derive(Clone, Copy, Debug)]
 struct Cold {
     warming: Warming,
+    sheds: bool,
     names_run: bool,
 }
 
 const COLD: [Cold; 3] = [
     Cold {
         warming: Warming::Answers(4),
+        sheds: true,
         names_run: true,
     },
     Cold {
         warming: Warming::Answers(4),
+        sheds: true,
         names_run: false,
     },
     Cold {
         warming: Warming::Time(Millis::from_secs(3)),
+        sheds: true,
         names_run: false,
     },
 ];
 
+/// A cold backend server that takes on what it does not bear.
+const NOT_SHEDDING: Cold = Cold {
+    warming: Warming::Time(Millis::from_secs(3)),
+    sheds: false,
+    names_run: false,
+};
+
 /// Lets three backend servers fall back into cold start under load.
 fn unannounced_cold_start(policy: Policy, report: LoadReport, cold: Cold, seed: u64) -> SlotFleet {
     let mut fleet = warm_fleet(policy, seed);
@@ -84,6 +109,7 @@
     for backend in fleet.backends.values_mut() {
         backend.excess = 0;
         backend.warming = cold.warming;
+        backend.sheds = cold.sheds;
         backend.names_run = cold.names_run;
     }
     for n in [0, 4, 8] {
@@ -137,12 +163,25 @@
     }
 }
 
+#[test]
+fn a_cold_backend_server_that_sheds_nothing_does_not_fall_over() {
+    for seed in 1..=3 {
+        let fleet = unannounced_cold_start(Policy::Leases, LAGGING, NOT_SHEDDING, seed);
+        println!(
+            "{NOT_SHEDDING:?} seed {seed}: {} falls, {} beyond what is borne",
+            falls(&fleet),
+            fleet.sum(|b| b.excess),
+        );
+        assert_eq!(falls(&fleet), 0);
+    }
+}
+
 #[test]
 fn a_backend_server_that_warms_with_its_answers_never_gets_more_than_it_bears() {
     for seed in 1..=3 {
         let mut fleet = SlotFleet::open(&cfg(), 2, seed);
         for backend in fleet.backends.values_mut() {
-            backend.go_cold(dragonflytrack::kernel::clock::Time(0));
+            backend.go_cold(Time(0));
         }
         fleet.run_for(Millis::from_secs(4));
         load_for(&mut fleet, 0.7, Millis::from_secs(30));
@@ -156,6 +195,28 @@
     }
 }
 
+#[test]
+fn ordinary_variation_of_answer_times_is_not_taken_for_a_cold_start() {
+    const ANSWERS: u64 = 20_000;
+    const MEAN: f64 = 100.0;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut allowance = Allowance::open(4, Time(0));
+    let mut now = Time(0);
+    let mut falls = 0;
+    for _ in 0..ANSWERS {
+        now += Millis(70);
+        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        let report = SlotReport {
+            result: SlotResult::Answered,
+            elapsed: Millis((-uniform.ln() * MEAN) as u64),
+            backend_run: None,
+        };
+        falls += u64::from(allowance.report(now, 4, &report).is_some());
+    }
+    println!("exponential answer times: {falls} falls in {ANSWERS} answers");
+    assert!(falls <= ANSWERS / 1_000);
+}
+
 fn set_state(fleet: &mut SlotFleet, state: DataCentreState, share: u8) {
     let mut cfg = fleet.cfg.clone();
     cfg.generation = Generation(cfg.generation.0 + 1);
--- a/tests/capacity_failures.rs
+++ b/tests/capacity_failures.rs
@@ -213,6 +213,38 @@
     }
 }
 
+#[test]
+fn vms_of_one_data_centre_that_do_not_hear_each_other_share_no_backend_server() {
+    let mut fleet = warm_fleet(11);
+    fleet.links.cut("vm0", "vm1");
+    for _ in 0..24 {
+        load_for(&mut fleet, Millis(500));
+        for backend in fleet.cfg.backends.clone() {
+            let owners = fleet.owners(&backend.name);
+            assert!(owners.len() <= 1, "{} has {owners:?}", backend.name);
+        }
+    }
+    assert_eq!(over_slots(&fleet), 0);
+}
+
+#[test]
+fn what_leaves_a_paused_vm_late_starts_nothing() {
+    for seed in [12, 13] {
+        let mut fleet = warm_fleet(seed);
+        fleet.run_for(Millis::from_secs(2));
+        for _ in 0..12 {
+            fleet.request(2, &service(), SERVICE_TIME);
+        }
+        let too_late = fleet.tally.too_late;
+        fleet.freeze(2, Millis::from_secs(20));
+        fleet.load(&service(), 80.0, SERVICE_TIME, Millis::from_secs(22));
+        let too_late = fleet.tally.too_late - too_late;
+        println!("seed {seed}: {too_late} too late");
+        assert!(too_late > 0);
+        assert_eq!(over_slots(&fleet), 0);
+    }
+}
+
 /// One disturbance of a random history.
 fn disturb(fleet: &mut SlotFleet, rng: &mut SmallRng) {
     let vm = rng.random_range(0..VMS);
@@ -221,6 +253,7 @@
         0 => fleet.kill(vm),
         1 | 2 => fleet.freeze(vm, Millis(rng.random_range(500..20_000))),
         3 => fleet.start(vm),
+        4 if rng.random_bool(0.5) => fleet.links.cut(&format!("vm{vm}"), &format!("vm{other}")),
         4 => fleet
             .links
             .cut_one_way(format!("vm{vm}"), format!("vm{other}")),
