--- a/tests/flow_changes.rs
+++ b/tests/flow_changes.rs
@@ -120,17 +120,33 @@
     });
 }
 
+fn drain_six_while_messages_are_lost(fleet: &mut Fleet, load: &mut FlowLoad, loss: f64) {
+    load.max_pause = Millis(100);
+    fleet.links.loss = loss;
+    for backend in 0..6 {
+        load.set_state(fleet, backend, BackendState::Draining);
+        load.run_for(fleet, Millis::from_secs(3));
+    }
+    fleet.links.loss = 0.0;
+    load.run_for(fleet, Millis::from_secs(4));
+}
+
 #[test]
 fn announcements_lost() {
-    expect_none_broken(|fleet, load| {
-        load.max_pause = Millis(100);
-        fleet.links.loss = 0.2;
-        for backend in 0..6 {
-            load.set_state(fleet, backend, BackendState::Draining);
-            load.run_for(fleet, Millis::from_secs(3));
-        }
-        fleet.links.loss = 0.0;
-        load.run_for(fleet, Millis::from_secs(4));
+    expect_none_broken(|fleet, load| drain_six_while_messages_are_lost(fleet, load, 0.2));
+}
+
+#[test]
+fn announcements_lost_at_forty_percent() {
+    expect_none_broken(|fleet, load| drain_six_while_messages_are_lost(fleet, load, 0.4));
+}
+
+/// The seeds of 100 to 159 in which a flow was broken.
+#[test]
+fn announcements_lost_in_further_seeds() {
+    let seeds = [107, 113, 117, 118, 128, 143, 145, 158];
+    flow_check::expect_none_broken(&configuration(), &seeds, |fleet, load| {
+        drain_six_while_messages_are_lost(fleet, load, 0.2);
     });
 }
 
