--- a/src/core/flow/steer.rs
+++ b/src/core/flow/steer.rs
@@ -13,12 +13,8 @@
             Packet,
             answers::Place,
             buckets::bucket_of,
-            entries::{
-                Entry,
-                EntryKind, //
-            },
+            entries::EntryKind,
             homes::{
-                HOMES,
                 Ranking,
                 rank, //
             },
@@ -56,15 +52,15 @@
 const MIRROR_INTERVAL: Millis = Millis::from_secs(1_800);
 
 /// A packet with what was found out about it.
-struct Job {
-    service: usize,
-    flow: u64,
-    bucket: usize,
-    syn: bool,
-    closing: bool,
-    /// The VMs that the packet has visited before this one.
-    path: Path,
-    packet: Bytes,
+pub(super) struct Job {
+    pub(super) service: usize,
+    pub(super) flow: u64,
+    pub(super) bucket: usize,
+    pub(super) syn: bool,
+    pub(super) closing: bool,
+    /// The VMs of the header that the packet came with.
+    pub(super) path: Path,
+    pub(super) packet: Bytes,
 }
 
 impl Flows {
@@ -94,13 +90,14 @@
             cx.count(Counter::PacketMalformed);
             return;
         };
-        let Some(job) = self.read(cx, packet, header.path) else {
+        let Some(job) = self.read(cx, packet, header.vms) else {
             return;
         };
         match header.kind {
             RelayKind::Lookup => self.look_up(cx, job),
             RelayKind::Open => self.open_flow(cx, job),
             RelayKind::Record => self.record(cx, job, header.backend),
+            RelayKind::Note => self.note_flow(cx, &job, header.backend),
         }
     }
 
@@ -151,12 +148,12 @@
             first => first.filter(|id| *id != me),
         };
         if let Some(home) = home {
-            relay(cx, &job, home, kind, 0);
+            relay_visited(cx, &job, home, kind);
             return;
         }
         match kind {
             RelayKind::Open => self.open_flow(cx, job),
-            RelayKind::Lookup | RelayKind::Record => self.look_up(cx, job),
+            _ => self.look_up(cx, job),
         }
     }
 
@@ -222,7 +219,7 @@
             service.new_target(job.bucket)
         };
         self.answer_asker(cx, &job, target);
-        self.pin(cx, &job, target);
+        self.pin_at_home(cx, &job, target);
         self.mirror(cx, job, target);
     }
 
@@ -242,7 +239,7 @@
         let may_be_recorded = self.entries.remove(job.flow) || !self.is_sure(cx, &job);
         if may_be_recorded || self.services[job.service].is_off_base(job.flow, target) {
             cx.count(Counter::FlowPinned);
-            self.pin(cx, &job, target);
+            self.pin_at_home(cx, &job, target);
             self.mirror(cx, job, target);
         } else {
             self.forward(cx, job, target);
@@ -272,39 +269,6 @@
             .unwrap_or_else(|| service.new_target(job.bucket))
     }
 
-    /// Records a flow that another home has placed.
-    fn record(&mut self, cx: &mut Cx<'_>, job: Job, backend: u64) {
-        let service = &self.services[job.service];
-        let Some(target) = service.target_named(backend) else {
-            cx.count(Counter::FlowRefused);
-            return;
-        };
-        self.pin(cx, &job, target);
-        self.forward(cx, job, target);
-    }
-
-    fn pin(&mut self, cx: &mut Cx<'_>, job: &Job, target: u16) {
-        let mut entry = Entry::new(job.service as u16, target, EntryKind::Pin, cx.now);
-        entry.touch(cx.now, job.closing);
-        if self.entries.insert(job.flow, entry).is_err() {
-            cx.count(Counter::FlowTableFull);
-        }
-    }
-
-    /// Lets the other home record the flow and forward the packet.
-    fn mirror(&mut self, cx: &mut Cx<'_>, job: Job, target: u16) {
-        let ranking = self.ranking(cx, &job);
-        let me = &cx.view.me.id;
-        let other = ranking.iter().take(HOMES).find(|id| *id != me);
-        let Some(other) = other else {
-            self.forward(cx, job, target);
-            return;
-        };
-        let service = &self.services[job.service];
-        let backend = service.targets[usize::from(target)].hash;
-        relay(cx, &job, other, RelayKind::Record, backend);
-    }
-
     /// Relays the packet to the VM that is asked after this one. Returns the
     /// packet if there is none.
     fn pass_on(&mut self, cx: &mut Cx<'_>, job: Job, kind: RelayKind) -> Option<Job> {
@@ -315,7 +279,7 @@
             .find(|id| *id != me && !job.path.contains(&tag(id)));
         match next {
             Some(next) if job.path.len() < MAX_PATH => {
-                relay(cx, &job, next, kind, 0);
+                relay_visited(cx, &job, next, kind);
                 None
             }
             _ => Some(job),
@@ -323,7 +287,7 @@
     }
 
     /// Ranks the VMs to ask. Those that are no homes yet come last.
-    fn ranking(&self, cx: &Cx<'_>, job: &Job) -> Ranking {
+    pub(super) fn ranking(&self, cx: &Cx<'_>, job: &Job) -> Ranking {
         let service = &self.services[job.service];
         let reliable = |m: &Member| self.stability.is_reliable(m);
         let rest = |m: &Member| {
@@ -367,7 +331,7 @@
         self.services[job.service].open_target(target).is_none()
     }
 
-    fn forward(&mut self, cx: &mut Cx<'_>, job: Job, target: u16) {
+    pub(super) fn forward(&mut self, cx: &mut Cx<'_>, job: Job, target: u16) {
         let service: &ServiceFlows = &self.services[job.service];
         let Some(target) = service.open_target(target) else {
             cx.count(Counter::FlowBroken);
@@ -393,14 +357,19 @@
     }
 }
 
-fn relay(cx: &mut Cx<'_>, job: &Job, to: &VmId, kind: RelayKind, backend: u64) {
-    let mut path = job.path.clone();
-    path.push(tag(&cx.view.me.id));
+/// Relays a packet to a VM that it has not visited.
+fn relay_visited(cx: &mut Cx<'_>, job: &Job, to: &VmId, kind: RelayKind) {
+    let mut vms = job.path.clone();
+    vms.push(tag(&cx.view.me.id));
     let header = RelayHeader {
         kind,
-        backend,
-        path,
+        backend: 0,
+        vms,
     };
+    relay(cx, job, to, &header);
+}
+
+pub(super) fn relay(cx: &mut Cx<'_>, job: &Job, to: &VmId, header: &RelayHeader) {
     cx.count(Counter::PacketRelayed);
     cx.act(Action::Relay {
         to: to.clone(),
--- a/src/core/intent/mod.rs
+++ b/src/core/intent/mod.rs
@@ -5,8 +5,10 @@
 //! - [`record`] is the platform object that holds the configuration in force.
 //! - [`validation`] checks the objects of a configuration.
 //! - [`change`] turns an intent into the configuration that follows from it.
-//! - [`plan`] shows what that changes and what it puts at risk.
+//! - [`plan`] shows what that changes, from [`diff`], and what it does to
+//!   running work, from [`impact`].
 //! - [`ramp`] returns a data centre step by step.
+//! - [`projection`] shows each object at the platform with its status.
 //! - [`relay`] carries the record between the VMs.
 //! - [`status`] tells operators what is in force where.
 
@@ -25,12 +27,15 @@
 mod calls;
 pub mod change;
 mod confirming;
+pub mod diff;
+pub mod impact;
 mod in_force;
 mod mend;
 pub mod operation;
 pub mod plan;
 mod planning;
 pub mod platform;
+pub mod projection;
 pub mod ramp;
 mod ranking;
 pub mod reader;
@@ -39,6 +44,7 @@
 mod repair;
 pub mod showing;
 pub mod status;
+pub mod usage;
 pub mod validation;
 
 pub use admin::AdminCall;
@@ -47,7 +53,6 @@
 pub use admin::AdminReply;
 pub use change::Intent;
 pub use plan::Plan;
-pub use plan::Usage;
 pub use platform::CONFIGURATION_KEY;
 pub use platform::PlatformCall;
 pub use platform::PlatformCallId;
@@ -56,6 +61,7 @@
 pub use platform::StoredObject;
 pub use record::Record;
 pub use relay::IntentMessage;
+pub use usage::Usage;
 
 use admin::Reply;
 use calls::{
@@ -69,6 +75,7 @@
     Work, //
 };
 use planning::Planning;
+use projection::Projection;
 use ramp::Ramps;
 use reader::Reader;
 use relay::Relay;
@@ -85,6 +92,7 @@
     relay: Relay,
     repair: Repair,
     ramps: Ramps,
+    projection: Projection,
     operations: Operations,
     usage: Usage,
     /// The VMs that the settings name.
@@ -122,6 +130,7 @@
         self.reader.tick(cx, &mut self.calls);
         self.repair.tick(cx, &mut self.calls, &self.in_force);
         self.ramps.tick(cx, &mut self.calls, &self.in_force);
+        self.projection.tick(cx, &mut self.calls, &self.in_force);
         self.operations.tick(cx, &mut self.calls, &self.usage);
         self.relay.tick(cx, &self.in_force);
     }
@@ -152,6 +161,9 @@
                 } = self;
                 ramps.on_outcome(cx, calls, in_force, outcome);
             }
+            Purpose::Projection => {
+                self.projection.on_outcome(cx, &mut self.calls, id, outcome);
+            }
             Purpose::Operation(admin) => {
                 let ids = (admin, id);
                 self.operations
@@ -196,9 +208,10 @@
     fn on_record(&mut self, cx: &mut Cx<'_>, outcome: &PlatformOutcome) {
         match outcome {
             PlatformOutcome::Object(object) => {
-                self.repair.on_object(cx, &mut self.in_force, object);
+                self.repair
+                    .on_object(cx, &mut self.in_force, &self.known, object);
             }
-            PlatformOutcome::Absent => self.repair.on_absent(cx, &self.in_force),
+            PlatformOutcome::Absent => self.repair.on_absent(cx, &self.in_force, &self.known),
             _ => {}
         }
         self.relay.on_applied(cx, &self.in_force);
--- a/src/core/intent/record.rs
+++ b/src/core/intent/record.rs
@@ -33,6 +33,9 @@
 /// How many confirmed plans a record remembers.
 pub const CONFIRMED_KEPT: usize = 64;
 
+/// The highest generation that is read. It leaves room for successors.
+pub const MAX_GENERATION: Generation = Generation(1 << 40);
+
 /// A plan that was confirmed.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ConfirmedPlan {
@@ -73,6 +76,11 @@
     ///
     /// Invariant: at most [`CONFIRMED_KEPT`].
     pub confirmed: Vec<ConfirmedPlan>,
+    /// The generation since which `confirmed` lacks no plan.
+    ///
+    /// A plan that rests on an earlier decision may have taken effect and have
+    /// been forgotten.
+    pub remembers_since: Generation,
     /// The objects that were refused when this record was written.
     pub refused: Vec<RefusedObject>,
 }
@@ -127,7 +135,7 @@
         let mut next = self.succeed(cfg);
         next.decision = next.generation();
         if next.confirmed.len() >= CONFIRMED_KEPT {
-            next.confirmed.remove(0);
+            next.remembers_since = next.confirmed.remove(0).generation;
         }
         next.confirmed.push(ConfirmedPlan {
             plan: plan.clone(),
@@ -161,6 +169,8 @@
         fields.insert("decision".to_owned(), decision);
         fields.insert("confirmed".to_owned(), confirmed);
         fields.insert("refused".to_owned(), refused);
+        let remembers_since = serde_json::json!(self.remembers_since);
+        fields.insert("remembers_since".to_owned(), remembers_since);
         value
     }
 
@@ -180,6 +190,12 @@
                 reason: "it is missing or 0".to_owned(),
             });
         }
+        if generation > MAX_GENERATION {
+            return Err(RecordError::Field {
+                field: "generation",
+                reason: format!("{generation} is above {MAX_GENERATION}"),
+            });
+        }
         let mut refused = Vec::new();
         let mut cfg = Configuration {
             generation,
@@ -193,6 +209,7 @@
             decision: field(fields, "decision")?
                 .map_or(generation, |d: Generation| d.min(generation)),
             confirmed: field(fields, "confirmed")?.unwrap_or_default(),
+            remembers_since: field(fields, "remembers_since")?.unwrap_or(generation),
             refused: field(fields, "refused")?.unwrap_or_default(),
         };
         Ok(Decoded { record, refused })
--- a/tests/request_tickets.rs
+++ b/tests/request_tickets.rs
@@ -15,6 +15,7 @@
             ServiceId,
             VmId, //
         },
+        notice::Notice,
         request::{
             Answer,
             Call,
@@ -278,6 +279,45 @@
     assert_eq!(runs(&fleet), 2);
 }
 
+#[test]
+fn a_vm_that_dies_in_its_planned_stop_leaves_its_running_requests_unknown() {
+    let mut fleet = fleet();
+    let running = ticket(&mut fleet, 0);
+    let unused = ticket(&mut fleet, 0);
+    for backend in &mut fleet.backends {
+        backend.service_time = Millis::from_secs(4);
+    }
+    send(&mut fleet, 3, 1, Some(&running), LONG);
+    fleet.run_for(Millis(100));
+    fleet.stop(0);
+    fleet.run_for(Millis(500));
+    fleet.kill(0);
+    fleet.run_for(Millis::from_secs(8));
+    let gone = Answer::unknown(UnknownReason::VmGone);
+    assert_eq!(told(&fleet, 1).map(|(_, a)| a), Some(gone.clone()));
+    send(&mut fleet, 4, 2, Some(&running), LONG);
+    send(&mut fleet, 4, 3, Some(&unused), LONG);
+    fleet.run_for(Millis::from_secs(6));
+    assert_eq!(told(&fleet, 2).map(|(_, a)| a), Some(gone));
+    assert!(told(&fleet, 3).is_some_and(|(_, a)| is_answered(&a)));
+    assert_eq!(runs(&fleet), 2);
+}
+
+#[test]
+fn a_planned_stop_ends_though_nobody_takes_the_tickets() {
+    let mut fleet = fleet();
+    ticket(&mut fleet, 0);
+    for vm in 1..6 {
+        fleet.links.cut("vm0", &format!("vm{vm}"));
+    }
+    fleet.stop(0);
+    fleet.run_for(Millis::from_secs(4));
+    let is_idle = fleet.nodes[0].engine.as_ref().is_some_and(|e| e.is_idle());
+    assert!(is_idle, "the planned stop does not end");
+    let mut notices = fleet.notes.iter().filter(|n| n.vm == 0);
+    assert!(notices.any(|n| n.notice == Notice::TicketsLost));
+}
+
 #[test]
 fn a_stopping_vm_says_not_run_only_of_what_has_no_ticket() {
     let mut fleet = fleet();
