Split the part of an owner, write what stood twice once

Lending and claiming are modules of their own, client::finish ends a verb, one macro gives both points in time their operators.

--- a/emulator/src/platform/faults.rs
+++ b/emulator/src/platform/faults.rs
@@ -2,11 +2,13 @@
 
 use std::{
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Mutex,
+        MutexGuard,
+        PoisonError,
         atomic::{
             AtomicU64,
             Ordering, //
-        },
+        }, //
     },
     time::Duration, //
 };
--- a/examples/capacity_bench.rs
+++ b/examples/capacity_bench.rs
@@ -11,7 +11,8 @@
 
 use dragonflytrack::{
     core::{
-        Counters, Cx,
+        Counters,
+        Cx,
         capacity::{
             Capacity,
             SlotReport,
@@ -29,7 +30,7 @@
             Incarnation,
             ServiceId,
             VmId, //
-        },
+        }, //
     },
     kernel::clock::{
         Millis,
--- a/examples/flow_bench.rs
+++ b/examples/flow_bench.rs
@@ -12,7 +12,10 @@
 use bytes::Bytes;
 use dragonflytrack::{
     core::{
-        Counter, Counters, Cx, PeerMessage,
+        Counter,
+        Counters,
+        Cx,
+        PeerMessage,
         configuration::{
             BackendState,
             Configuration,
@@ -39,7 +42,7 @@
             BackendId,
             Incarnation,
             VmId, //
-        },
+        }, //
     },
     kernel::clock::{
         Millis,
--- a/src/command/client.rs
+++ b/src/command/client.rs
@@ -23,6 +23,7 @@
 use crate::command::{
     EXIT_FAILED,
     EXIT_NO_ANSWER,
+    EXIT_OK,
     EXIT_UNKNOWN,
     EXIT_USAGE, //
 };
@@ -95,6 +96,17 @@
     }
 }
 
+/// Prints the error of an operator's verb, if any. Returns the exit code.
+pub fn finish(result: Result<(), ClientError>) -> u8 {
+    match result {
+        Ok(()) => EXIT_OK,
+        Err(e) => {
+            e.print();
+            e.exit_code()
+        }
+    }
+}
+
 /// A call of the admin API.
 #[derive(Clone, Debug)]
 pub struct AdminRequest {
--- a/src/command/plan.rs
+++ b/src/command/plan.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     command::{
-        EXIT_OK, EXIT_USAGE,
+        EXIT_USAGE,
         client::{
             self,
             AdminRequest,
@@ -26,7 +26,7 @@
         table::{
             Table,
             or_dash, //
-        },
+        }, //
     },
     core::intent::Plan,
 };
@@ -128,13 +128,7 @@
         eprintln!("{}", PlanArgs::command_list().unwrap_or_default());
         return EXIT_USAGE;
     };
-    match make(intent) {
-        Ok(()) => EXIT_OK,
-        Err(e) => {
-            e.print();
-            e.exit_code()
-        }
-    }
+    client::finish(make(intent))
 }
 
 fn make(intent: &IntentArgs) -> Result<(), ClientError> {
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -14,11 +14,13 @@
 
 use crate::{
     command::{
-        EXIT_FAILED, EXIT_OK, EXIT_USAGE,
+        EXIT_FAILED,
+        EXIT_OK,
+        EXIT_USAGE,
         shutdown::{
             self,
             Ending, //
-        },
+        }, //
     },
     core::{
         membership::Vm,
--- a/src/command/services.rs
+++ b/src/command/services.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     command::{
-        EXIT_OK,
         client::{
             self,
             AdminRequest,
@@ -42,13 +41,7 @@
 
 /// Asks for the services and prints them. Returns the exit code.
 pub fn run(args: &ServicesArgs) -> u8 {
-    match ask(args) {
-        Ok(()) => EXIT_OK,
-        Err(e) => {
-            e.print();
-            e.exit_code()
-        }
-    }
+    client::finish(ask(args))
 }
 
 fn ask(args: &ServicesArgs) -> Result<(), ClientError> {
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     command::{
-        EXIT_OK,
         client::{
             self,
             AdminRequest,
@@ -42,13 +41,7 @@
 
 /// Asks for the status and prints it. Returns the exit code.
 pub fn run(args: &StatusArgs) -> u8 {
-    match ask(args) {
-        Ok(()) => EXIT_OK,
-        Err(e) => {
-            e.print();
-            e.exit_code()
-        }
-    }
+    client::finish(ask(args))
 }
 
 fn ask(args: &StatusArgs) -> Result<(), ClientError> {
--- a/src/core/capacity/book.rs
+++ b/src/core/capacity/book.rs
@@ -5,7 +5,8 @@
 use crate::{
     core::{
         capacity::{
-            LONG_RUN, RUN_LIMIT,
+            LONG_RUN,
+            RUN_LIMIT,
             allowance::Allowance,
             message::{
                 AskId,
@@ -13,7 +14,7 @@
                 LeaseId,
                 Load,
                 RunBounds, //
-            },
+            }, //
         },
         names::{
             Incarnation,
--- a/src/core/capacity/loans.rs
+++ b/src/core/capacity/loans.rs
@@ -5,14 +5,18 @@
 use crate::{
     core::{
         capacity::{
-            LONG_RUN, MIN_REMAINING, RUN_LIMIT, SlotReport, SlotResult,
+            LONG_RUN,
+            MIN_REMAINING,
+            RUN_LIMIT,
+            SlotReport,
+            SlotResult,
             message::{
                 AskId,
                 CapacityMessage,
                 HeldLoan,
                 LeaseId,
                 Reports, //
-            },
+            }, //
         },
         cx::Cx,
         names::{
--- a/src/core/capacity/owner.rs
+++ b/src/core/capacity/owner.rs
@@ -5,33 +5,23 @@
 use crate::{
     core::{
         capacity::{
-            MIN_REMAINING, RUN_BITS, SlotReport,
+            SlotReport,
             allowance::{
                 Allowance,
                 Fall, //
             },
-            book::{
-                Book,
-                Borrower,
-                Holding,
-                LOAN_SPAN, //
-            },
+            book::Book,
             index::Index,
             message::{
-                AskId,
                 CapacityMessage,
                 Claim,
-                ClaimState,
-                LeaseId,
-                Load,
-                RunBounds, //
+                Load, //
             },
             ownership::{
                 Ownership,
                 Round,
-                Vote,
-                preferred_owner, //
-            },
+                Vote, //
+            }, //
         },
         configuration::Backend,
         counter::Counter,
@@ -42,7 +32,7 @@
             Incarnation,
             VmId, //
         },
-        notice::Notice,
+        notice::Notice, //
     },
     kernel::clock::{
         Millis,
@@ -50,6 +40,9 @@
     },
 };
 
+mod claiming;
+mod lending;
+
 /// How long a backend server that was given up is still named in claims, so
 /// that lost messages do no harm.
 const RELEASED_TIME: Millis = Millis::from_secs(3);
@@ -57,9 +50,6 @@
 /// How long the claims of a VM are remembered.
 const CLAIMS_MEMORY: Millis = Millis::from_secs(60);
 
-/// A loan that would be shorter is not granted.
-const MIN_LOAN_SPAN: Millis = Millis::from_secs(1);
-
 /// The part of an owner.
 #[derive(Debug, Default)]
 pub struct Owner {
@@ -150,51 +140,6 @@
         self.follow_leases(cx);
     }
 
-    /// Takes in that another VM asks for a slot.
-    pub fn on_ask(&mut self, cx: &mut Cx<'_>, from: &VmId, ask: AskId, backend: &BackendId) {
-        let borrower = Borrower {
-            vm: from.clone(),
-            ask,
-        };
-        if self.lend(cx, &borrower, backend) {
-            return;
-        }
-        let load = self.load_of(cx, backend);
-        let book = self.books.get_mut(backend).filter(|_| load.open > 0);
-        if let Some(book) = book
-            && book.enqueue(cx.now, borrower)
-        {
-            // Idle loans come back at once, the others after their request.
-            recall(cx, backend, book);
-            return;
-        }
-        cx.send(from, CapacityMessage::Deny { ask, load });
-    }
-
-    /// Takes in that a loan has been returned.
-    pub fn on_return(&mut self, cx: &mut Cx<'_>, from: &VmId, id: LeaseId, reports: &[SlotReport]) {
-        let ended = |(_, book): &mut (&BackendId, &mut Book)| book.end(id, Some(from));
-        let Some((backend, _)) = self
-            .books
-            .iter_mut()
-            .find_map(|mut entry| ended(&mut entry).then_some(entry))
-        else {
-            return;
-        };
-        let backend = backend.clone();
-        for report in reports {
-            self.report(cx, &backend, report);
-        }
-        self.serve_queue(cx, &backend);
-    }
-
-    /// Takes in the list of all loans that another VM holds.
-    pub fn on_holding(&mut self, now: Time, held: &Holding<'_>) {
-        for book in self.books.values_mut() {
-            book.reconcile(now, held);
-        }
-    }
-
     /// Returns the load of `backend`. Nothing is open if this VM does not own
     /// it.
     pub fn load(&self, cx: &Cx<'_>, backend: &Backend) -> Load {
@@ -210,100 +155,6 @@
         backend.map_or_else(Load::default, |b| self.load(cx, b))
     }
 
-    /// Grants this VM itself a lease. Returns it with the end of the right to
-    /// start a request.
-    pub fn grant_own(&mut self, cx: &Cx<'_>, backend: &BackendId) -> Option<(LeaseId, Time)> {
-        let load = self.load_of(cx, backend);
-        let until = self.ownership.lease_end(cx, backend, true)?;
-        if load.leased >= load.open || until < cx.now + MIN_REMAINING {
-            return None;
-        }
-        let id = self.next_lease_id(cx);
-        let book = self.books.get_mut(backend)?;
-        book.grant(cx.now, id, None, until);
-        Some((id, until))
-    }
-
-    /// Ends a lease of this VM itself.
-    pub fn end_own(
-        &mut self,
-        cx: &mut Cx<'_>,
-        backend: &BackendId,
-        id: LeaseId,
-        report: SlotReport,
-    ) {
-        if let Some(book) = self.books.get_mut(backend) {
-            book.end(id, None);
-        }
-        self.report(cx, backend, &report);
-        self.serve_queue(cx, backend);
-    }
-
-    /// Lends `borrower` a slot of `backend`. Returns whether one was free.
-    fn lend(&mut self, cx: &mut Cx<'_>, borrower: &Borrower, backend: &BackendId) -> bool {
-        let Some((id, span)) = self.grant_loan(cx, borrower, backend) else {
-            return false;
-        };
-        let msg = CapacityMessage::Lend {
-            ask: borrower.ask,
-            id,
-            span,
-            load: self.load_of(cx, backend),
-        };
-        cx.send(&borrower.vm, msg);
-        true
-    }
-
-    fn grant_loan(
-        &mut self,
-        cx: &Cx<'_>,
-        borrower: &Borrower,
-        backend: &BackendId,
-    ) -> Option<(LeaseId, Millis)> {
-        if let Some(lease) = self.books.get(backend)?.lease_for(borrower) {
-            return Some((lease.id, lease.until.since(lease.granted)));
-        }
-        let load = self.load_of(cx, backend);
-        let end = self.ownership.lease_end(cx, backend, true)?;
-        let until = end.min(cx.now + LOAN_SPAN);
-        let span = until.since(cx.now);
-        if load.leased >= load.open || span < MIN_LOAN_SPAN {
-            return None;
-        }
-        let id = self.next_lease_id(cx);
-        let book = self.books.get_mut(backend)?;
-        book.grant(cx.now, id, Some(borrower.clone()), until);
-        Some((id, span))
-    }
-
-    /// Lends free slots to the asks that wait for them.
-    fn serve_queues(&mut self, cx: &mut Cx<'_>) {
-        let waited_for = self.books.iter().filter(|(_, b)| b.has_queue());
-        let waited_for: Vec<_> = waited_for.map(|(id, _)| id.clone()).collect();
-        for backend in waited_for {
-            self.serve_queue(cx, &backend);
-        }
-    }
-
-    fn serve_queue(&mut self, cx: &mut Cx<'_>, backend: &BackendId) {
-        loop {
-            let load = self.load_of(cx, backend);
-            if load.leased >= load.open {
-                return;
-            }
-            let Some(borrower) = self.books.get_mut(backend).and_then(Book::dequeue) else {
-                return;
-            };
-            self.lend(cx, &borrower, backend);
-        }
-    }
-
-    fn next_lease_id(&mut self, cx: &Cx<'_>) -> LeaseId {
-        let first = cx.view.me.incarnation.0 << RUN_BITS;
-        self.next_lease = self.next_lease.max(first) + 1;
-        LeaseId(self.next_lease)
-    }
-
     fn report(&mut self, cx: &mut Cx<'_>, backend: &BackendId, report: &SlotReport) {
         let slots = self.index.backend(cx.cfg, backend).map_or(0, |b| b.slots);
         let Some(book) = self.books.get_mut(backend) else {
@@ -340,122 +191,6 @@
             }
         }
     }
-
-    /// Gives up what another VM should own and can own.
-    fn release_where_due(&mut self, cx: &mut Cx<'_>) {
-        let ids: Vec<_> = self.books.keys().cloned().collect();
-        for id in ids {
-            let is_over = self.is_to_be_released(cx, &id);
-            let Some(book) = self.books.get_mut(&id) else {
-                continue;
-            };
-            let was_releasing = book.is_releasing;
-            book.is_releasing = is_over;
-            if is_over && !was_releasing {
-                recall(cx, &id, book);
-            }
-            if !is_over || book.may_start(cx.now) {
-                continue;
-            }
-            if book.is_held {
-                book.is_held = false;
-                book.last_held = Some(cx.now);
-                cx.count(Counter::OwnershipReleased);
-                cx.note(Notice::OwnershipReleased, id.as_str());
-                self.released.insert(id.clone(), cx.now);
-            }
-            self.ownership.give_up(&cx.view.me.id, &id);
-        }
-        self.drop_old_books(cx);
-    }
-
-    fn drop_old_books(&mut self, cx: &Cx<'_>) {
-        let now = cx.now;
-        self.released.retain(|_, at| now.since(*at) < RELEASED_TIME);
-        let released = &self.released;
-        self.books.retain(|id, book| {
-            let is_named = released.contains_key(id);
-            !book.is_releasing || book.is_held || !book.is_idle() || is_named
-        });
-    }
-
-    fn is_to_be_released(&self, cx: &Cx<'_>, id: &BackendId) -> bool {
-        let Some(backend) = self.index.backend(cx.cfg, id) else {
-            return true;
-        };
-        let me = &cx.view.me.id;
-        let preferred = self.preferred(cx, backend);
-        if self.is_stopping || preferred.is_none() {
-            return true;
-        }
-        preferred
-            .filter(|vm| *vm != me)
-            .is_some_and(|vm| self.ownership.is_claimed_by(cx.view, vm, id))
-    }
-
-    fn preferred<'a>(&self, cx: &Cx<'a>, backend: &Backend) -> Option<&'a VmId> {
-        preferred_owner(cx.view, &backend.data_centre, &backend.name)
-    }
-
-    fn send_claims(&mut self, cx: &mut Cx<'_>) {
-        self.open_books(cx);
-        let mut claims = Vec::new();
-        for (id, book) in &self.books {
-            let state = if book.is_held {
-                ClaimState::Held
-            } else if book.is_releasing {
-                ClaimState::Released
-            } else {
-                ClaimState::Wanted
-            };
-            if state != ClaimState::Released {
-                self.ownership.promise_self(cx, id);
-            }
-            claims.push(self.claim(cx, id, book, state));
-        }
-        let is_settled = claims.iter().all(|c| c.state != ClaimState::Wanted);
-        let is_settled = is_settled && !self.books.values().any(|b| b.is_held && b.is_releasing);
-        self.ownership.send_round(cx, &claims, is_settled);
-    }
-
-    /// Opens the books of the backend servers that this VM should own.
-    fn open_books(&mut self, cx: &Cx<'_>) {
-        if self.is_stopping || self.ownership.is_recovering(cx.now) {
-            return;
-        }
-        let opened_by = Some((cx.view.version, cx.cfg.generation));
-        if self.opened_by == opened_by {
-            return;
-        }
-        self.opened_by = opened_by;
-        let me = &cx.view.me;
-        for backend in &cx.cfg.backends {
-            if backend.data_centre != me.data_centre || self.books.contains_key(&backend.name) {
-                continue;
-            }
-            if self.preferred(cx, backend) == Some(&me.id) {
-                let book = Book::open(Allowance::open(1, cx.now));
-                self.books.insert(backend.name.clone(), book);
-            }
-        }
-    }
-
-    fn claim(&self, cx: &Cx<'_>, id: &BackendId, book: &Book, state: ClaimState) -> Claim {
-        let load = self.load_of(cx, id);
-        let running: RunBounds = book.run_bounds(cx.now);
-        let is_released = state == ClaimState::Released;
-        Claim {
-            backend: id.clone(),
-            state,
-            open: if is_released {
-                book.allowance.known()
-            } else {
-                load.open
-            },
-            leased: load.leased,
-            running,
-        }
-    }
 }
 
 /// Returns how many slots of `backend` its share of new work opens.
--- a/src/core/membership/machine.rs
+++ b/src/core/membership/machine.rs
@@ -10,14 +10,18 @@
         counter::Counter,
         cx::Cx,
         membership::{
-            HEARTBEAT_INTERVAL, LOST_AFTER, MAX_MEMBERS, PAUSE_LIMIT, SUSPECT_AFTER,
+            HEARTBEAT_INTERVAL,
+            LOST_AFTER,
+            MAX_MEMBERS,
+            PAUSE_LIMIT,
+            SUSPECT_AFTER,
             message::MembershipMessage,
             view::{
                 Member,
                 MemberState,
                 View,
                 Vm, //
-            },
+            }, //
         },
         names::{
             Generation,
--- a/src/edge/admin.rs
+++ b/src/edge/admin.rs
@@ -5,11 +5,13 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc,
+        Mutex,
+        PoisonError,
         atomic::{
             AtomicU64,
             Ordering, //
-        },
+        }, //
     },
 };
 
--- a/src/edge/callers.rs
+++ b/src/edge/callers.rs
@@ -8,11 +8,13 @@
         TcpListener, //
     },
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc,
+        Mutex,
+        PoisonError,
         atomic::{
             AtomicU64,
             Ordering, //
-        },
+        }, //
     },
 };
 
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -8,7 +8,10 @@
 
 use crate::{
     core::{
-        Action, Engine, Event, PeerMessage,
+        Action,
+        Engine,
+        Event,
+        PeerMessage,
         counter::Counter,
         membership::{
             Seed,
@@ -18,7 +21,7 @@
         names::{
             Incarnation,
             VmId, //
-        },
+        }, //
     },
     edge::{
         counts::EdgeCounts,
--- a/src/edge/platform.rs
+++ b/src/edge/platform.rs
@@ -31,11 +31,13 @@
     core::{
         engine::Event,
         intent::{
-            PlatformOp, PlatformOutcome, StoredObject,
+            PlatformOp,
+            PlatformOutcome,
+            StoredObject,
             platform::{
                 ANSWER_TIMEOUT,
                 MAX_OBJECT, //
-            },
+            }, //
         },
     },
     edge::mailbox::{
--- a/src/kernel/clock.rs
+++ b/src/kernel/clock.rs
@@ -76,20 +76,38 @@
 #[display("{_0}ms")]
 pub struct WallTime(pub u64);
 
-impl Time {
-    /// Returns the span since `earlier`, or zero if `earlier` is in the future.
-    pub fn since(self, earlier: Time) -> Millis {
-        Millis(self.0.saturating_sub(earlier.0))
-    }
-}
+/// Lets spans be added to points in time, and be taken between them.
+macro_rules! point_in_time {
+    ($name:ident) => {
+        impl $name {
+            /// Returns the span since `earlier`, or zero if `earlier` is in the
+            /// future.
+            pub fn since(self, earlier: $name) -> Millis {
+                Millis(self.0.saturating_sub(earlier.0))
+            }
+        }
 
-impl WallTime {
-    /// Returns the span since `earlier`, or zero if `earlier` is in the future.
-    pub fn since(self, earlier: WallTime) -> Millis {
-        Millis(self.0.saturating_sub(earlier.0))
-    }
+        impl Add<Millis> for $name {
+            type Output = $name;
+
+            fn add(self, span: Millis) -> $name {
+                $name(self.0.saturating_add(span.0))
+            }
+        }
+
+        impl Sub<Millis> for $name {
+            type Output = $name;
+
+            fn sub(self, span: Millis) -> $name {
+                $name(self.0.saturating_sub(span.0))
+            }
+        }
+    };
 }
 
+point_in_time!(Time);
+point_in_time!(WallTime);
+
 impl Millis {
     /// Returns a span of `n` seconds.
     pub const fn from_secs(n: u64) -> Millis {
@@ -105,44 +123,12 @@
     }
 }
 
-impl Add<Millis> for Time {
-    type Output = Time;
-
-    fn add(self, span: Millis) -> Time {
-        Time(self.0.saturating_add(span.0))
-    }
-}
-
 impl AddAssign<Millis> for Time {
     fn add_assign(&mut self, span: Millis) {
         *self = *self + span;
     }
 }
 
-impl Sub<Millis> for Time {
-    type Output = Time;
-
-    fn sub(self, span: Millis) -> Time {
-        Time(self.0.saturating_sub(span.0))
-    }
-}
-
-impl Add<Millis> for WallTime {
-    type Output = WallTime;
-
-    fn add(self, span: Millis) -> WallTime {
-        WallTime(self.0.saturating_add(span.0))
-    }
-}
-
-impl Sub<Millis> for WallTime {
-    type Output = WallTime;
-
-    fn sub(self, span: Millis) -> WallTime {
-        WallTime(self.0.saturating_sub(span.0))
-    }
-}
-
 /// The source of time of one process.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -15,7 +15,9 @@
 use bytes::Bytes;
 use dragonflytrack::{
     core::{
-        Action, Engine, Event,
+        Action,
+        Engine,
+        Event,
         configuration::Configuration,
         flow::{
             Packet,
@@ -48,7 +50,7 @@
             AttemptOutcome,
             Call,
             CallId, //
-        },
+        }, //
     },
     kernel::clock::{
         Millis,
--- a/testkit/src/process/address.rs
+++ b/testkit/src/process/address.rs
@@ -9,11 +9,13 @@
     },
     process,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Mutex,
+        MutexGuard,
+        PoisonError,
         atomic::{
             AtomicU8,
             Ordering, //
-        },
+        }, //
     },
 };
 
--- a/testkit/src/slots.rs
+++ b/testkit/src/slots.rs
@@ -17,7 +17,10 @@
 
 use dragonflytrack::{
     core::{
-        Action, Counters, Cx, PeerMessage,
+        Action,
+        Counters,
+        Cx,
+        PeerMessage,
         capacity::{
             Capacity,
             NoSlot,
@@ -37,7 +40,7 @@
             Incarnation,
             ServiceId,
             VmId, //
-        },
+        }, //
     },
     kernel::clock::{
         Millis,
--- a/tests/intent_faults.rs
+++ b/tests/intent_faults.rs
@@ -7,7 +7,8 @@
 
 use dragonflytrack::{
     core::{
-        Counter, Event,
+        Counter,
+        Event,
         configuration::Configuration,
         intent::{
             AdminOp,
@@ -19,18 +20,19 @@
         names::{
             Generation,
             Incarnation, //
-        },
+        }, //
     },
     kernel::clock::Millis,
 };
 use dragonflytrack_testkit::platform::Weather;
 use intent_support::{
-    Fleet6, drain,
+    Fleet6,
+    drain,
     history::{
         check_chain,
         check_never_reverts, //
     },
-    out,
+    out, //
 };
 use serde_json::{
     Value,
--- a/tests/intent_objects.rs
+++ b/tests/intent_objects.rs
@@ -25,12 +25,13 @@
     kernel::clock::Millis,
 };
 use intent_support::{
-    Fleet6, drain,
+    Fleet6,
+    drain,
     history::{
         check_chain,
         check_never_reverts, //
     },
-    out,
+    out, //
 };
 use proptest::{
     prelude::*,
--- a/tests/request_tickets.rs
+++ b/tests/request_tickets.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use dragonflytrack::{
     core::{
-        Counter, Event,
+        Counter,
+        Event,
         configuration::{
             Configuration,
             DataCentreState, //
@@ -33,7 +34,7 @@
             USABLE_FOR,
             UnknownReason,
             Waiter, //
-        },
+        }, //
     },
     kernel::clock::{
         Millis,
