Encode the metrics when they are asked for, keep one agenda of virtual time

Cause, found on reading the whole change: each readiness probe and each poll of a planned stop, every 20 ms, had the engine's actor encode all metrics and threw them away; and the two fleets of the test kit had the same queue by time and order of entry, with the same orderings written out.

GetMetrics is a message of its own; testkit::agenda holds the queue for both fleets.

--- a/src/edge/admin.rs
+++ b/src/edge/admin.rs
@@ -48,7 +48,9 @@
     edge::{
         engine::{
             GetHealth,
-            HEALTH, //
+            GetMetrics,
+            HEALTH,
+            METRICS, //
         },
         mailbox::{
             ADMIN,
@@ -75,6 +77,7 @@
 struct Shared {
     engine: Recipient<EngineEvent>,
     health: Recipient<GetHealth>,
+    metrics: Recipient<GetMetrics>,
     waiting: Waiting,
     next_call: Arc<AtomicU64>,
 }
@@ -90,6 +93,7 @@
         let shared = Shared {
             engine: registry.find(ENGINE).map_err(io::Error::other)?,
             health: registry.find(HEALTH).map_err(io::Error::other)?,
+            metrics: registry.find(METRICS).map_err(io::Error::other)?,
             waiting: Arc::clone(&waiting),
             next_call: Arc::default(),
         };
@@ -145,10 +149,10 @@
 }
 
 async fn metrics(shared: web::Data<Shared>) -> HttpResponse {
-    match shared.health.send(GetHealth).await {
-        Ok(health) => HttpResponse::Ok()
+    match shared.metrics.send(GetMetrics).await {
+        Ok(metrics) => HttpResponse::Ok()
             .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
-            .body(health.metrics),
+            .body(metrics),
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
 }
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -6,6 +6,16 @@
     time::Duration, //
 };
 
+use actix::{
+    Actor,
+    AsyncContext,
+    Context,
+    Handler,
+    Message,
+    Recipient, //
+};
+use bytes::Bytes;
+
 use crate::{
     core::{
         Action,
@@ -54,15 +64,6 @@
     },
     settings::Settings,
 };
-use actix::{
-    Actor,
-    AsyncContext,
-    Context,
-    Handler,
-    Message,
-    Recipient, //
-};
-use bytes::Bytes;
 
 /// How often the engine is told that time has passed.
 const TICK: Duration = Duration::from_millis(10);
@@ -106,13 +107,19 @@
     pub ready: bool,
     /// Whether no request is left to finish.
     pub idle: bool,
-    /// The metrics in the text exposition format.
-    pub metrics: String,
 }
 
 /// The name under which the engine answers [`GetHealth`].
 pub const HEALTH: &str = "engine/health";
 
+/// Asks for the metrics in the text exposition format.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "String")]
+pub struct GetMetrics;
+
+/// The name under which the engine answers [`GetMetrics`].
+pub const METRICS: &str = "engine/metrics";
+
 /// Announces a planned stop: the process is no longer ready.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "()")]
@@ -147,6 +154,7 @@
         let address = service.start();
         registry.register(ENGINE, address.clone().recipient::<EngineEvent>());
         registry.register(HEALTH, address.clone().recipient::<GetHealth>());
+        registry.register(METRICS, address.clone().recipient::<GetMetrics>());
         registry.register(READINESS, address.recipient::<WithdrawReadiness>());
     }
 
@@ -206,11 +214,18 @@
         Health {
             ready: self.engine.is_ready() && !self.stopping,
             idle: self.engine.is_idle(),
-            metrics: metrics::encode(&self.engine, &self.counts, &self.in_flight),
         }
     }
 }
 
+impl Handler<GetMetrics> for EngineService {
+    type Result = String;
+
+    fn handle(&mut self, _msg: GetMetrics, _cx: &mut Context<EngineService>) -> String {
+        metrics::encode(&self.engine, &self.counts, &self.in_flight)
+    }
+}
+
 impl Handler<WithdrawReadiness> for EngineService {
     type Result = ();
 
--- /dev/null
+++ b/testkit/src/agenda.rs
@@ -0,0 +1,80 @@
+//! What is to happen later, under virtual time.
+
+use std::{
+    cmp::{
+        Ordering,
+        Reverse, //
+    },
+    collections::BinaryHeap,
+};
+
+use dragonflytrack::kernel::clock::Time;
+
+/// One thing to happen.
+struct Entry<T> {
+    at: Time,
+    order: u64,
+    what: T,
+}
+
+impl<T> PartialEq for Entry<T> {
+    fn eq(&self, other: &Entry<T>) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl<T> Eq for Entry<T> {}
+
+impl<T> PartialOrd for Entry<T> {
+    fn partial_cmp(&self, other: &Entry<T>) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Entry<T> {
+    fn cmp(&self, other: &Entry<T>) -> Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// Things to happen, by time and, at one time, in the order they were added.
+pub struct Agenda<T> {
+    entries: BinaryHeap<Reverse<Entry<T>>>,
+    order: u64,
+}
+
+impl<T> Default for Agenda<T> {
+    fn default() -> Agenda<T> {
+        Agenda {
+            entries: BinaryHeap::new(),
+            order: 0,
+        }
+    }
+}
+
+impl<T> Agenda<T> {
+    /// Adds `what` to happen at `at`.
+    pub fn add(&mut self, at: Time, what: T) {
+        self.order += 1;
+        let order = self.order;
+        self.entries.push(Reverse(Entry { at, order, what }));
+    }
+
+    /// Returns when the next thing happens.
+    pub fn next_at(&self) -> Option<Time> {
+        self.entries.peek().map(|e| e.0.at)
+    }
+
+    /// Takes the next thing.
+    pub fn pop(&mut self) -> Option<T> {
+        self.entries.pop().map(|e| e.0.what)
+    }
+
+    /// Lets `f` move things to another time.
+    pub fn reschedule(&mut self, f: impl Fn(Time, &T) -> Time) {
+        for Reverse(mut entry) in std::mem::take(&mut self.entries) {
+            entry.at = f(entry.at, &entry.what);
+            self.entries.push(Reverse(entry));
+        }
+    }
+}
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -1,11 +1,7 @@
 //! Several engines under virtual time.
 
 use std::{
-    cmp::Reverse,
-    collections::{
-        BinaryHeap,
-        HashMap, //
-    },
+    collections::HashMap,
     net::{
         Ipv4Addr,
         SocketAddr, //
@@ -65,6 +61,7 @@
 };
 
 use crate::{
+    agenda::Agenda,
     backend::{
         FakeBackend,
         Reaction, //
@@ -150,32 +147,6 @@
     PlatformAnswer(usize, Incarnation, PlatformCallId, PlatformOutcome),
 }
 
-struct Scheduled {
-    at: Time,
-    order: u64,
-    arrival: Arrival,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Scheduled) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// Several engines with the fakes around them.
 pub struct Fleet {
     /// The virtual time.
@@ -202,8 +173,7 @@
     pub seeds: usize,
     /// The source of random numbers.
     pub rng: SmallRng,
-    queue: BinaryHeap<Reverse<Scheduled>>,
-    order: u64,
+    agenda: Agenda<Arrival>,
     next_tick: Time,
     watches: Vec<(usize, Incarnation, PlatformCall, Time)>,
     by_packets: HashMap<SocketAddr, usize>,
@@ -227,8 +197,7 @@
             admin_replies: Vec::new(),
             seeds: usize::MAX,
             rng: SmallRng::seed_from_u64(seed),
-            queue: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::default(),
             next_tick: Time(0),
             watches: Vec::new(),
             by_packets: HashMap::new(),
@@ -363,7 +332,7 @@
     pub fn run_for(&mut self, span: Millis) {
         let end = self.now + span;
         loop {
-            let next = self.queue.peek().map_or(end, |s| s.0.at);
+            let next = self.agenda.next_at().unwrap_or(end);
             let due = next.min(self.next_tick);
             if due > end {
                 break;
@@ -373,10 +342,10 @@
                 self.tick();
                 continue;
             }
-            let Some(Reverse(scheduled)) = self.queue.pop() else {
+            let Some(arrival) = self.agenda.pop() else {
                 break;
             };
-            self.arrive(scheduled.arrival);
+            self.arrive(arrival);
         }
         self.now = end;
     }
@@ -403,12 +372,7 @@
     }
 
     fn schedule(&mut self, delay: Millis, arrival: Arrival) {
-        self.order += 1;
-        self.queue.push(Reverse(Scheduled {
-            at: self.now + delay,
-            order: self.order,
-            arrival,
-        }));
+        self.agenda.add(self.now + delay, arrival);
     }
 
     fn arrive(&mut self, arrival: Arrival) {
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 //! cut them. VMs are killed, restarted, frozen and stopped. Nothing sleeps and
 //! all random numbers come from one seed.
 
+pub mod agenda;
 pub mod backend;
 pub mod caller;
 pub mod cold;
--- a/testkit/src/slots.rs
+++ b/testkit/src/slots.rs
@@ -5,10 +5,8 @@
 //! trying a shed request elsewhere.
 
 use std::{
-    cmp::Reverse,
     collections::{
         BTreeMap,
-        BinaryHeap,
         VecDeque, //
     },
     net::SocketAddr,
@@ -55,6 +53,7 @@
 };
 
 use crate::{
+    agenda::Agenda,
     cold::{
         ColdBackend,
         LoadReport,
@@ -137,32 +136,6 @@
     AtBackend(usize, Incarnation, u64, BackendId, WallTime, Millis),
 }
 
-struct Entry {
-    at: Time,
-    order: u64,
-    what: Scheduled,
-}
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Entry) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Entry {}
-
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Entry) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entry {
-    fn cmp(&self, other: &Entry) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// A request that was refused.
 #[derive(Clone, Copy, Debug)]
 pub struct Refusal {
@@ -209,8 +182,7 @@
     /// When each backend server last started a request.
     pub last_start: BTreeMap<BackendId, Time>,
     rng: SmallRng,
-    queue: BinaryHeap<Reverse<Entry>>,
-    order: u64,
+    agenda: Agenda<Scheduled>,
     next_tick: Time,
     next_attempt: u64,
     busy_log: VecDeque<Busy>,
@@ -236,8 +208,7 @@
             tally: Tally::default(),
             last_start: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
-            queue: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::default(),
             next_tick: Time(0),
             next_attempt: 0,
             busy_log: VecDeque::new(),
@@ -312,14 +283,10 @@
     /// leaves it only when it wakes.
     pub fn freeze(&mut self, at: usize, span: Millis) {
         self.vms[at].frozen_until = Some(self.now + span);
-        let entries = std::mem::take(&mut self.queue);
-        for Reverse(mut entry) in entries {
-            let is_own = matches!(&entry.what, Scheduled::AtBackend(vm, ..) if *vm == at);
-            if is_own {
-                entry.at += span;
-            }
-            self.queue.push(Reverse(entry));
-        }
+        self.agenda.reschedule(|due, what| match what {
+            Scheduled::AtBackend(vm, ..) if *vm == at => due + span,
+            _ => due,
+        });
     }
 
     /// Begins a planned stop of the VM `at`.
@@ -404,7 +371,7 @@
 
     fn run_until(&mut self, end: Time) {
         loop {
-            let next = self.queue.peek().map_or(end, |e| e.0.at);
+            let next = self.agenda.next_at().unwrap_or(end);
             let due = next.min(self.next_tick);
             if due > end {
                 break;
@@ -414,10 +381,10 @@
                 self.tick();
                 continue;
             }
-            let Some(Reverse(entry)) = self.queue.pop() else {
+            let Some(what) = self.agenda.pop() else {
                 break;
             };
-            self.arrive(entry.what);
+            self.arrive(what);
         }
         self.now = self.now.max(end);
     }
@@ -743,12 +710,7 @@
     }
 
     fn schedule(&mut self, delay: Millis, what: Scheduled) {
-        self.order += 1;
-        self.queue.push(Reverse(Entry {
-            at: self.now + delay,
-            order: self.order,
-            what,
-        }));
+        self.agenda.add(self.now + delay, what);
     }
 
     /// Runs `f` on the VM `at` unless it is dead or frozen, and carries out
