Steer packets by tag on the users' platform, thin

Cause: the platform's answers do not pass the entry VMs, so tables of flows cannot be kept by watching both directions. A tag in the packets names the backend server; any VM reads it alike.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -20,6 +20,7 @@
 pub mod services;
 pub mod shutdown;
 pub mod status;
+pub mod steer;
 pub mod table;
 pub mod version;
 
@@ -51,6 +52,9 @@
     /// Run an entry VM.
     #[options(help = "run an entry VM")]
     Run(run::Run),
+    /// Run an entry VM that steers by tag.
+    #[options(help = "run an entry VM on the users' platform")]
+    Steer(steer::Steer),
     /// Plan a change.
     #[options(help = "plan a change; nothing happens before it is confirmed")]
     Plan(plan::PlanArgs),
@@ -76,6 +80,7 @@
     let line = CommandLine::parse_args_default_or_exit();
     let code = match line.command {
         Some(Command::Run(args)) => run::run(&args),
+        Some(Command::Steer(args)) => steer::run(&args),
         Some(Command::Plan(args)) => plan::run(&args),
         Some(Command::Confirm(args)) => confirm::run(&args),
         Some(Command::Status(args)) => status::run(&args),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod names;
 pub mod notice;
 pub mod request;
+pub mod steering;
 
 pub use action::Action;
 pub use counter::Counter;
--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -48,6 +48,7 @@
     1003 Stopped Info "The planned stop is complete.";
     1004 StopTimedOut Error "The planned stop took too long and was cut short.";
     1005 StopForced Warn "A second signal cut the planned stop short.";
+    1006 ReloadIgnored Info "The settings are read at the start only; the signal to reload them was ignored.";
     // 2000: membership.
     2001 PeerJoined Info "A VM has joined the view.";
     2002 PeerSuspected Warn "A VM is suspected because its heartbeats stopped.";
--- /dev/null
+++ b/src/core/steering/exchange.rs
@@ -0,0 +1,228 @@
+//! What VMs learn from the store and from each other.
+
+use super::{
+    Action, Steering,
+    peers::{
+        Belief,
+        Heartbeat,
+        Snapshot,
+        SnapshotPart,
+        SnapshotRequest,
+        TagLoad, //
+    },
+    reading::Update,
+    store::{
+        Change,
+        Kind,
+        Object,
+        Revision,
+        Value, //
+    },
+};
+use crate::kernel::clock::{
+    Millis,
+    Time, //
+};
+
+/// How old knowledge may be before a VM reads the store itself, if it is the
+/// first to do so.
+const FRESH_FOR: Millis = Millis(1_300);
+
+/// Added for each VM that comes before this one, so that they do not all begin
+/// at once.
+const TURN: Millis = Millis(200);
+
+/// The most that is added.
+const LONGEST_TURN: Millis = Millis(1_000);
+
+/// Taken off the age that another VM tells, for the time on the way.
+const TRANSIT: Millis = Millis(20);
+
+/// The most addresses that a snapshot names.
+const MAX_CONTACTS_TOLD: usize = 128;
+
+impl Steering {
+    /// Tells whether this VM reads a kind from the store: the first VM of each
+    /// data centre does, and any VM whose knowledge is too old.
+    pub(super) fn reads(&self, kind: Kind, now: Time) -> bool {
+        let rank = self.rank(now);
+        if rank == 0 {
+            return true;
+        }
+        let Some(age) = self.beliefs.age(kind, now) else {
+            return true;
+        };
+        let turn = Millis(TURN.0 * rank as u64).0.min(LONGEST_TURN.0);
+        age > FRESH_FOR + Millis(turn)
+    }
+
+    /// The number of live VMs of this data centre that come before this one.
+    fn rank(&self, now: Time) -> usize {
+        let mine = (self.is_stopping, &self.me.vm);
+        self.peers
+            .live(now)
+            .map(|m| &m.heartbeat)
+            .filter(|h| h.data_centre == self.me.data_centre)
+            .filter(|h| (h.is_stopping, &h.vm) < mine)
+            .count()
+    }
+
+    /// Takes in what was read of a kind, which the store had at `as_of` or
+    /// later.
+    pub(super) fn apply(
+        &mut self,
+        kind: Kind,
+        update: Update,
+        revision: Revision,
+        as_of: Time,
+        now: Time,
+    ) {
+        let has_changes = match &update {
+            Update::All(_) => revision > self.beliefs.get(kind).revision,
+            Update::Changes(changes) => !changes.is_empty(),
+        };
+        if has_changes {
+            match update {
+                Update::All(objects) => self.apply_all(kind, objects, revision, now),
+                Update::Changes(changes) => self.apply_changes(kind, changes, now),
+            }
+            self.peers.hurry(now);
+        }
+        self.beliefs.advance(kind, revision, has_changes, as_of);
+        self.end_flows(now);
+    }
+
+    fn apply_all(&mut self, kind: Kind, objects: Vec<Object>, revision: Revision, now: Time) {
+        let gone_at = self.beliefs.trouble_over();
+        match kind {
+            Kind::Configuration => objects.into_iter().for_each(|o| self.configure(o)),
+            Kind::BackendServers => self.directory.replace(&objects, revision, gone_at, now),
+            Kind::Evacuations => self.directory.replace_evacuations(&objects, revision, now),
+        }
+    }
+
+    fn apply_changes(&mut self, kind: Kind, changes: Vec<Change>, now: Time) {
+        let gone_at = self.beliefs.trouble_over();
+        for change in changes {
+            match kind {
+                Kind::Configuration if change.removed => {}
+                Kind::Configuration => self.configure(change.object),
+                Kind::BackendServers => self.directory.change(&change, gone_at, now),
+                Kind::Evacuations => self.directory.change_evacuation(&change, now),
+            }
+        }
+    }
+
+    fn configure(&mut self, object: Object) {
+        if let Some(Value::Configuration(cfg)) = object.value {
+            self.routing.apply(object.revision, cfg);
+        }
+    }
+
+    /// Returns what this VM tells the others.
+    pub fn heartbeat(&self, now: Time) -> Heartbeat {
+        let load = |(tag, load): (_, super::flows::Load)| TagLoad {
+            tag,
+            flows: load.flows,
+            waiting: load.waiting,
+        };
+        Heartbeat {
+            vm: self.me.vm.clone(),
+            incarnation: self.me.incarnation,
+            data_centre: self.me.data_centre.clone(),
+            address: self.me.address,
+            is_stopping: self.is_stopping,
+            beliefs: self.beliefs.export(now),
+            trouble_age: self.beliefs.trouble().map(|at| now.since(at)),
+            loads: self.flows.loads().map(load).collect(),
+            dead: self.suspicion.dead().collect(),
+        }
+    }
+
+    /// Takes in a heartbeat of another VM.
+    pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) {
+        if let Some(age) = heartbeat.trouble_age {
+            self.beliefs.note_trouble(now - age);
+        }
+        for tag in &heartbeat.dead {
+            self.suspicion.report(*tag, now);
+        }
+        let (from, loads) = (heartbeat.address, heartbeat.loads.clone());
+        let wanted = self.compare(&heartbeat.beliefs, now);
+        let before = self.peers.hear(heartbeat, now);
+        let before = before.map_or(Vec::new(), |h| h.loads);
+        self.remote.replace(&before, &loads);
+        if !wanted.is_empty() {
+            let kinds = wanted;
+            self.actions.push(Action::Pull { from, kinds });
+        }
+    }
+
+    /// Compares what another VM knows with what this one does. Returns the
+    /// kinds of which the other one knows more.
+    fn compare(&mut self, theirs: &[Belief], now: Time) -> Vec<Kind> {
+        let mut wanted = Vec::new();
+        for (kind, belief) in Kind::ALL.into_iter().zip(theirs) {
+            let mine = *self.beliefs.get(kind);
+            if belief.revision <= Revision(0) || belief.revision < mine.revision {
+                continue;
+            }
+            if belief.changed == mine.changed && mine.revision > Revision(0) {
+                let as_of = now - belief.age - TRANSIT;
+                self.beliefs.confirm(kind, belief.revision, as_of);
+            } else if belief.revision > mine.revision {
+                wanted.push(kind);
+            }
+        }
+        wanted
+    }
+
+    /// Returns what another VM asked for.
+    pub fn snapshot(&self, request: &SnapshotRequest, now: Time) -> Snapshot {
+        let known = request.kinds.iter().filter(|k| self.beliefs.knows(**k));
+        let mut contacts = self.peers.addresses(now);
+        contacts.truncate(MAX_CONTACTS_TOLD);
+        Snapshot {
+            parts: known.map(|kind| self.snapshot_part(*kind, now)).collect(),
+            contacts,
+        }
+    }
+
+    fn snapshot_part(&self, kind: Kind, now: Time) -> SnapshotPart {
+        let objects = match kind {
+            Kind::Configuration => vec![Object {
+                name: String::new(),
+                revision: self.routing.revision(),
+                value: Some(Value::Configuration(self.routing.configuration().clone())),
+            }],
+            Kind::BackendServers => self.directory.export(now),
+            Kind::Evacuations => self.directory.export_evacuations(),
+        };
+        SnapshotPart {
+            kind,
+            belief: self.beliefs.export_kind(kind, now),
+            objects,
+        }
+    }
+
+    /// Takes in what another VM knows.
+    pub fn on_snapshot(&mut self, snapshot: Snapshot, now: Time) {
+        for address in snapshot.contacts {
+            self.peers.add_contact(address, now);
+        }
+        for part in snapshot.parts {
+            let Belief {
+                revision,
+                changed,
+                age,
+            } = part.belief;
+            if revision <= self.beliefs.get(part.kind).revision {
+                continue;
+            }
+            let as_of = now - age - TRANSIT;
+            let update = Update::All(part.objects);
+            self.apply(part.kind, update, revision, as_of, now);
+            self.beliefs.adopt_changed(part.kind, changed);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/steering/reading.rs
@@ -0,0 +1,195 @@
+//! Follows one kind of object at the store: a list first, then watches.
+
+use rand::{
+    Rng,
+    rngs::SmallRng, //
+};
+
+use super::store::{
+    Change,
+    Kind,
+    Object,
+    Revision,
+    StoreAnswer,
+    StoreCall, //
+};
+use crate::kernel::clock::{
+    Millis,
+    Time, //
+};
+
+/// How long the store may hold a watch. A watch on a connection that went
+/// silent is noticed this long after it began, at the latest.
+const WATCH_TIME: Millis = Millis(1_000);
+
+/// The pause after the first failure; it doubles with each further one.
+const FIRST_PAUSE: Millis = Millis(100);
+
+/// The longest pause between calls to a store in trouble.
+const LONGEST_PAUSE: Millis = Millis(800);
+
+/// How often a VM that does not read looks whether it should.
+const IDLE_PAUSE: Millis = Millis(50);
+
+/// What the reader does next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// It calls the store.
+    Call(StoreCall),
+    /// It waits.
+    Wait(Millis),
+}
+
+/// What was read.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Update {
+    /// All objects of the kind.
+    All(Vec<Object>),
+    /// The changes since the version that was known.
+    Changes(Vec<Change>),
+}
+
+/// Follows one kind.
+#[derive(Debug)]
+pub struct Reader {
+    kind: Kind,
+    state: State,
+    /// Failures since the last answer that could be used.
+    failures: u32,
+    /// No call is made before.
+    pause_until: Time,
+}
+
+#[derive(Debug)]
+enum State {
+    Listing {
+        after: Option<String>,
+        objects: Vec<Object>,
+        /// The version of the first page. Later pages may be newer, so that
+        /// watches begin here.
+        first: Option<Revision>,
+    },
+    Watching,
+}
+
+impl State {
+    fn from_start() -> State {
+        State::Listing {
+            after: None,
+            objects: Vec::new(),
+            first: None,
+        }
+    }
+}
+
+impl Reader {
+    /// Starts to follow `kind` with a list.
+    pub fn open(kind: Kind) -> Reader {
+        Reader {
+            kind,
+            state: State::from_start(),
+            failures: 0,
+            pause_until: Time::default(),
+        }
+    }
+
+    /// Returns what to do next. `known` is the version that this VM knows from
+    /// any source; zero if none.
+    pub fn next(&mut self, is_wanted: bool, known: Revision, now: Time) -> Step {
+        if !is_wanted {
+            return Step::Wait(IDLE_PAUSE);
+        }
+        if now < self.pause_until {
+            return Step::Wait(self.pause_until.since(now).min(IDLE_PAUSE));
+        }
+        Step::Call(self.call(known))
+    }
+
+    fn call(&mut self, known: Revision) -> StoreCall {
+        let is_begun = matches!(&self.state, State::Listing { after: Some(_), .. });
+        if known > Revision(0) && !is_begun && self.failures == 0 {
+            self.state = State::Watching;
+        }
+        match &self.state {
+            State::Listing { after, .. } => StoreCall::List {
+                kind: self.kind,
+                after: after.clone(),
+            },
+            State::Watching => StoreCall::Watch {
+                kind: self.kind,
+                since: known,
+                wait: WATCH_TIME,
+            },
+        }
+    }
+
+    /// Takes in an answer. Returns what was read and as of which version.
+    pub fn on_answer(
+        &mut self,
+        answer: StoreAnswer,
+        now: Time,
+        rng: &mut SmallRng,
+    ) -> Option<(Update, Revision)> {
+        match answer {
+            StoreAnswer::Page {
+                objects,
+                more,
+                revision,
+            } => {
+                self.failures = 0;
+                self.on_page(objects, more, revision)
+            }
+            StoreAnswer::Changes { changes, revision } => {
+                self.failures = 0;
+                self.state = State::Watching;
+                Some((Update::Changes(changes), revision))
+            }
+            StoreAnswer::HistoryGone => {
+                self.state = State::from_start();
+                // Counts as a failure, so that the next call is a list.
+                self.failures = self.failures.max(1);
+                None
+            }
+            StoreAnswer::Busy | StoreAnswer::NoAnswer => {
+                self.on_failure(now, rng);
+                None
+            }
+        }
+    }
+
+    fn on_page(
+        &mut self,
+        page: Vec<Object>,
+        more: bool,
+        revision: Revision,
+    ) -> Option<(Update, Revision)> {
+        let State::Listing {
+            after,
+            objects,
+            first,
+        } = &mut self.state
+        else {
+            return None;
+        };
+        let revision = *first.get_or_insert(revision);
+        let last = page.last().map(|o| o.name.clone());
+        objects.extend(page);
+        if more && last.is_some() {
+            *after = last;
+            return None;
+        }
+        let all = std::mem::take(objects);
+        self.state = State::Watching;
+        Some((Update::All(all), revision))
+    }
+
+    /// Starts over with a list, after a pause that grows and is spread so that
+    /// the VMs do not call together.
+    fn on_failure(&mut self, now: Time, rng: &mut SmallRng) {
+        self.state = State::from_start();
+        let doubled = FIRST_PAUSE.0 << self.failures.min(4);
+        let pause = doubled.min(LONGEST_PAUSE.0);
+        self.failures += 1;
+        self.pause_until = now + Millis(rng.random_range(pause / 2..=pause));
+    }
+}
--- /dev/null
+++ b/src/core/steering/steer.rs
@@ -0,0 +1,174 @@
+//! The decision about one packet.
+
+use smallvec::SmallVec;
+
+use super::{
+    Steering,
+    directory::{
+        Entry,
+        Fitness, //
+    },
+    flows::Sign,
+    packet::{
+        DropReason,
+        Packet,
+        ResetReason,
+        Role,
+        Target,
+        Verdict, //
+    },
+    placing::Place,
+    store::Kind,
+    suspicion::Standing,
+    tag::Tag,
+};
+use crate::{
+    core::names::ServiceId,
+    kernel::clock::Time, //
+};
+
+impl Steering {
+    /// Decides about a client's packet.
+    pub fn on_packet(&mut self, packet: &Packet, now: Time) -> Verdict {
+        match packet.role {
+            Role::Open { copy } => self.open_flow(packet, copy, now),
+            Role::Continue { closes, rejects } => self.continue_flow(packet, closes, rejects, now),
+        }
+    }
+
+    fn open_flow(&mut self, packet: &Packet, copy: u32, now: Time) -> Verdict {
+        if !self.is_informed() {
+            return Verdict::Drop(DropReason::NoConfiguration);
+        }
+        if !self.routing.has_route(packet.flow.service) {
+            return Verdict::Reset(ResetReason::NoRoute);
+        }
+        let offered: SmallVec<[Tag; 3]> = match self.flows.offers(&packet.flow, copy, now) {
+            None => SmallVec::new(),
+            // The same copy may arrive twice.
+            Some((offered, true)) => return self.repeat_offer(packet, offered.last().copied()),
+            Some((offered, false)) => SmallVec::from_slice(offered),
+        };
+        for tag in &offered {
+            self.accuse(*tag, packet, copy.min(u32::from(u8::MAX)) as u8, now);
+        }
+        match self.place(packet, &offered, now) {
+            Some(tag) => {
+                self.flows.offer(packet, copy, tag, now);
+                self.forward(tag)
+            }
+            None => Verdict::Reset(ResetReason::NoBackend),
+        }
+    }
+
+    fn repeat_offer(&self, _packet: &Packet, tag: Option<Tag>) -> Verdict {
+        tag.map_or(Verdict::Drop(DropReason::NoBackend), |t| self.forward(t))
+    }
+
+    /// Chooses a backend server among the services of the route, the one whose
+    /// turn it is first. A service without a backend server that is ready comes
+    /// after those that have one.
+    fn place(&mut self, packet: &Packet, offered: &[Tag], now: Time) -> Option<Tag> {
+        let services = self.routing.take_turn(packet.flow.service);
+        let mut found: Option<(Tag, Fitness)> = None;
+        for service in &services {
+            let Some((tag, fitness)) = self.choose(service, offered, now) else {
+                continue;
+            };
+            if fitness == Fitness::Ready {
+                return Some(tag);
+            }
+            if found.is_none_or(|(_, best)| fitness < best) {
+                found = Some((tag, fitness));
+            }
+        }
+        found.map(|(tag, _)| tag)
+    }
+
+    fn choose(
+        &mut self,
+        service: &ServiceId,
+        offered: &[Tag],
+        now: Time,
+    ) -> Option<(Tag, Fitness)> {
+        let place = Place {
+            directory: &self.directory,
+            flows: &self.flows,
+            remote: &self.remote,
+            suspicion: &self.suspicion,
+            home: &self.me.data_centre,
+            now,
+        };
+        place.choose(service, offered, &mut self.rng)
+    }
+
+    fn continue_flow(
+        &mut self,
+        packet: &Packet,
+        closes: bool,
+        rejects: bool,
+        now: Time,
+    ) -> Verdict {
+        let Some(tag) = packet.tag else {
+            return Verdict::Drop(DropReason::NoTag);
+        };
+        let verdict = self.find(tag);
+        match verdict {
+            Verdict::Forward(_) => {
+                let sign = self.flows.observe(packet, tag, closes || rejects, now);
+                self.note_sign(sign, packet, now);
+                verdict
+            }
+            Verdict::Reset(_) if rejects => Verdict::Drop(DropReason::RejectedFlow),
+            Verdict::Reset(_) | Verdict::Drop(_) => verdict,
+        }
+    }
+
+    /// Finds the backend server of a tag.
+    fn find(&self, tag: Tag) -> Verdict {
+        let Some(entry) = self.directory.entry(tag) else {
+            return Verdict::Drop(DropReason::UnknownTag);
+        };
+        if !entry.may_live() {
+            return Verdict::Reset(ResetReason::BackendGone);
+        }
+        if self.suspicion.standing(tag) == Standing::Dead {
+            return Verdict::Reset(ResetReason::BackendDead);
+        }
+        Verdict::Forward(target(tag, entry))
+    }
+
+    fn forward(&self, tag: Tag) -> Verdict {
+        match self.directory.entry(tag) {
+            Some(entry) => Verdict::Forward(target(tag, entry)),
+            None => Verdict::Drop(DropReason::NoBackend),
+        }
+    }
+
+    fn note_sign(&mut self, sign: Sign, packet: &Packet, now: Time) {
+        match sign {
+            Sign::None => {}
+            Sign::Alive(tag) => self.suspicion.acquit(tag),
+            Sign::Silent { tag, repeats } => self.accuse(tag, packet, repeats, now),
+        }
+    }
+
+    fn accuse(&mut self, tag: Tag, packet: &Packet, repeats: u8, now: Time) {
+        if self.suspicion.accuse(tag, packet.flow, repeats, now) {
+            self.declare_dead(tag, now);
+        }
+    }
+
+    /// Tells whether this VM knows enough to place flows.
+    fn is_informed(&self) -> bool {
+        self.routing.is_known() && self.beliefs.knows(Kind::BackendServers)
+    }
+}
+
+fn target(tag: Tag, entry: &Entry) -> Target {
+    Target {
+        key: entry.server.key,
+        address: entry.server.address,
+        tag,
+    }
+}
--- /dev/null
+++ b/src/core/steering/suspicion.rs
@@ -0,0 +1,220 @@
+//! Which backend servers do not react any more.
+//!
+//! Answers do not pass this VM. What shows that a backend server is dead are
+//! clients who repeat themselves without progress, and a connection that it
+//! does not accept. Only both together count, because a mistake would break the
+//! flows of a backend server that lives. Clients of at least two flows, each
+//! twice, count as the second kind of evidence for each other.
+
+use hashbrown::HashMap;
+use smallvec::SmallVec;
+
+use super::{
+    packet::FlowId,
+    tag::Tag, //
+};
+use crate::kernel::clock::{
+    Millis,
+    Time, //
+};
+
+/// Repeats that count as strong evidence: 200 ms and 400 ms without an answer.
+const STRONG_REPEATS: u8 = 2;
+
+/// Flows whose clients repeat themselves, after which no probe is waited for.
+const ENOUGH_FLOWS: usize = 2;
+
+/// How long evidence is kept.
+const EVIDENCE_TIME: Millis = Millis::from_secs(3);
+
+/// How long a backend server may take to accept a probe's connection.
+pub const PROBE_TIMEOUT: Millis = Millis(250);
+
+/// The time between two probes of a backend server.
+const PROBE_INTERVAL: Millis = Millis::from_secs(1);
+
+/// What a probe found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbeOutcome {
+    /// The connection was accepted.
+    Accepted,
+    /// It was refused.
+    Refused,
+    /// Nothing came within [`PROBE_TIMEOUT`].
+    TimedOut,
+}
+
+/// What this VM thinks of a backend server.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Trusted,
+    /// It may be dead.
+    Suspected,
+    /// It is dead.
+    Dead,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Case {
+    /// The flows whose clients repeat themselves, with the last repeat's number.
+    ///
+    /// Invariant: at most [`ENOUGH_FLOWS`], the most repeated.
+    silent: SmallVec<[(FlowId, u8); ENOUGH_FLOWS]>,
+    last_evidence: Time,
+    probe: Probe,
+    /// Whether another VM says that the backend server is dead.
+    reported: bool,
+    dead: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Probe {
+    #[default]
+    NotAsked,
+    Asked {
+        since: Time,
+    },
+    Answered {
+        at: Time,
+        outcome: ProbeOutcome,
+    },
+}
+
+/// The evidence against backend servers.
+#[derive(Debug, Default)]
+pub struct Suspicion {
+    cases: HashMap<Tag, Case>,
+}
+
+impl Suspicion {
+    /// What this VM thinks of a backend server.
+    pub fn standing(&self, tag: Tag) -> Standing {
+        match self.cases.get(&tag) {
+            None => Standing::Trusted,
+            Some(case) if case.dead => Standing::Dead,
+            Some(case) if case.is_suspect() => Standing::Suspected,
+            Some(_) => Standing::Trusted,
+        }
+    }
+
+    /// The backend servers that are dead.
+    pub fn dead(&self) -> impl Iterator<Item = Tag> {
+        self.cases
+            .iter()
+            .filter(|(_, case)| case.dead)
+            .map(|(tag, _)| *tag)
+    }
+
+    /// Notes that a backend server has answered, or is another run.
+    pub fn acquit(&mut self, tag: Tag) {
+        self.cases.remove(&tag);
+    }
+
+    /// Notes that a client repeats itself. Returns whether this shows that the
+    /// backend server is dead.
+    pub fn accuse(&mut self, tag: Tag, flow: FlowId, repeats: u8, now: Time) -> bool {
+        let case = self.cases.entry(tag).or_default();
+        case.last_evidence = now;
+        case.add(flow, repeats);
+        case.decide()
+    }
+
+    /// Notes that another VM says that a backend server is dead.
+    pub fn report(&mut self, tag: Tag, now: Time) {
+        let case = self.cases.entry(tag).or_default();
+        case.last_evidence = now;
+        case.reported = true;
+    }
+
+    /// Notes what a probe found. Returns whether this shows that the backend
+    /// server is dead.
+    pub fn probed(&mut self, tag: Tag, outcome: ProbeOutcome, now: Time) -> bool {
+        if outcome == ProbeOutcome::Accepted {
+            self.acquit(tag);
+            return false;
+        }
+        let Some(case) = self.cases.get_mut(&tag) else {
+            return false;
+        };
+        case.probe = Probe::Answered { at: now, outcome };
+        case.decide()
+    }
+
+    /// Returns the backend servers to probe now.
+    pub fn take_probes(&mut self, now: Time) -> Vec<Tag> {
+        let mut due = Vec::new();
+        for (tag, case) in &mut self.cases {
+            if case.wants_probe(now) {
+                case.probe = Probe::Asked { since: now };
+                due.push(*tag);
+            }
+        }
+        due
+    }
+
+    /// Drops evidence that was not renewed.
+    pub fn sweep(&mut self, now: Time) {
+        self.cases
+            .retain(|_, case| case.dead || now.since(case.last_evidence) < EVIDENCE_TIME);
+    }
+}
+
+impl Case {
+    fn add(&mut self, flow: FlowId, repeats: u8) {
+        if let Some(known) = self.silent.iter_mut().find(|(id, _)| *id == flow) {
+            known.1 = known.1.max(repeats);
+            return;
+        }
+        if self.silent.len() < ENOUGH_FLOWS {
+            self.silent.push((flow, repeats));
+            return;
+        }
+        if let Some(weakest) = self.silent.iter_mut().min_by_key(|(_, n)| *n)
+            && weakest.1 < repeats
+        {
+            *weakest = (flow, repeats);
+        }
+    }
+
+    fn strong(&self) -> usize {
+        self.silent
+            .iter()
+            .filter(|(_, repeats)| *repeats >= STRONG_REPEATS)
+            .count()
+    }
+
+    fn is_suspect(&self) -> bool {
+        self.reported || self.silent.len() >= ENOUGH_FLOWS || self.strong() > 0
+    }
+
+    fn wants_probe(&self, now: Time) -> bool {
+        if !self.is_suspect() && !self.dead {
+            return false;
+        }
+        match self.probe {
+            Probe::NotAsked => true,
+            Probe::Asked { since } => now.since(since) >= PROBE_INTERVAL,
+            Probe::Answered { at, .. } => now.since(at) >= PROBE_INTERVAL,
+        }
+    }
+
+    /// Returns whether the backend server has just turned out to be dead.
+    fn decide(&mut self) -> bool {
+        if self.dead {
+            return false;
+        }
+        self.dead = match self.probe {
+            Probe::Answered {
+                outcome: ProbeOutcome::Refused,
+                ..
+            } => true,
+            Probe::Answered {
+                outcome: ProbeOutcome::TimedOut,
+                ..
+            } => self.is_suspect(),
+            _ => self.strong() >= ENOUGH_FLOWS,
+        };
+        self.dead
+    }
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -16,4 +16,5 @@
 pub mod metrics;
 pub mod peers;
 pub mod platform;
+pub mod steering;
 pub mod strict_stream;
--- /dev/null
+++ b/src/edge/steering/format.rs
@@ -0,0 +1,64 @@
+//! What an adapter to a platform translates.
+
+use derive_more::{
+    Display,
+    Error, //
+};
+
+use crate::core::steering::{
+    packet::{
+        Packet,
+        Reset,
+        Target, //
+    },
+    store::{
+        StoreAnswer,
+        StoreCall, //
+    },
+};
+
+/// A datagram is no packet of a client.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub enum PacketProblem {
+    /// It ends before the header does, or before the data.
+    #[display("the datagram is {got} bytes, its header asks for {want}; check who sends it")]
+    Length {
+        /// The length of the datagram in bytes.
+        got: usize,
+        /// The length that there should be.
+        want: usize,
+    },
+    /// Its flags name no packet that a client sends.
+    #[display("the flags {flags:#04x} are no packet of a client; check who sends it")]
+    Flags {
+        /// The flags.
+        flags: u8,
+    },
+}
+
+/// The names and forms of one platform. An implementation translates; it
+/// decides nothing and keeps nothing.
+pub trait PlatformFormat {
+    /// The path of the readiness probe.
+    fn readiness_path(&self) -> &'static str;
+
+    /// Reads the datagram of a client.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the datagram is no packet of a client.
+    fn read_packet(&self, datagram: &[u8]) -> Result<Packet, PacketProblem>;
+
+    /// Writes to `buf` the datagram for the backend server `target` that
+    /// carries the packet of a client on.
+    fn write_forward(&self, datagram: &[u8], target: &Target, buf: &mut Vec<u8>);
+
+    /// Writes to `buf` the datagram that tells a client that its flow is over.
+    fn write_reset(&self, reset: &Reset, buf: &mut Vec<u8>);
+
+    /// Returns the path and query of a call.
+    fn store_path(&self, call: &StoreCall) -> String;
+
+    /// Reads the answer to a call from its status and body.
+    fn read_answer(&self, call: &StoreCall, status: u16, body: &[u8]) -> StoreAnswer;
+}
--- /dev/null
+++ b/src/edge/steering/node.rs
@@ -0,0 +1,152 @@
+//! An entry VM that steers by tag.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    io,
+    net::SocketAddrV4,
+    rc::Rc,
+    time::Duration, //
+};
+
+use actix_rt::{
+    net::UdpSocket,
+    time::sleep, //
+};
+
+use super::{
+    format::PlatformFormat,
+    packets,
+    peers,
+    probes,
+    ready,
+    store, //
+};
+use crate::{
+    core::{
+        names::Incarnation,
+        steering::{
+            Action,
+            Identity,
+            Steering,
+            TICK,
+            store::Kind, //
+        },
+    },
+    kernel::clock::{
+        Clock,
+        Millis,
+        Time, //
+    },
+    settings::SteeringSettings,
+};
+
+/// How long the routers may take to notice that a VM is no longer ready.
+const NOTICE_TIME: Millis = Millis(1_500);
+
+/// A stopping VM that got no packet for this long has nothing left to do.
+const QUIET_TIME: Millis = Millis(400);
+
+/// Kept from the time that a planned stop may take.
+const STOP_MARGIN: Millis = Millis(800);
+
+/// What the tasks of the VM share. All run on one thread.
+pub struct Node<F> {
+    /// The names and forms of the platform.
+    pub format: F,
+    /// The settings.
+    pub settings: SteeringSettings,
+    /// The clock of this run.
+    pub clock: Clock,
+    /// The decisions. Never borrowed across an await.
+    pub steering: RefCell<Steering>,
+    /// Takes packets and sends them on.
+    pub packets: UdpSocket,
+    /// Takes and sends heartbeats.
+    pub heartbeats: UdpSocket,
+    /// When the last packet of a client arrived.
+    pub last_packet: Cell<Time>,
+}
+
+impl<F: PlatformFormat + 'static> Node<F> {
+    /// Binds all sockets and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn spawn(settings: SteeringSettings, format: F) -> io::Result<Rc<Node<F>>> {
+        let clock = Clock::start();
+        let me = Identity {
+            vm: settings.vm.clone(),
+            incarnation: Incarnation(clock.wall().0),
+            data_centre: settings.data_centre.clone(),
+            address: settings.peers,
+        };
+        let rng_seed = me.vm.hash64() ^ me.incarnation.0;
+        let node = Rc::new(Node {
+            format,
+            clock,
+            steering: RefCell::new(Steering::open(me, &settings.seeds, rng_seed)),
+            packets: UdpSocket::bind(settings.packets).await?,
+            heartbeats: UdpSocket::bind(settings.peers).await?,
+            last_packet: Cell::new(Time::default()),
+            settings,
+        });
+        ready::spawn(&node).await?;
+        peers::spawn(&node).await?;
+        packets::spawn(&node);
+        for kind in Kind::ALL {
+            store::spawn(&node, kind);
+        }
+        actix_rt::spawn(tick(Rc::clone(&node)));
+        Ok(node)
+    }
+
+    /// Carries out what was decided.
+    pub fn act(self: &Rc<Self>) {
+        let actions = self.steering.borrow_mut().take_actions();
+        for action in actions {
+            match action {
+                Action::Reset(reset) => packets::send_reset(self, &reset),
+                Action::Heartbeat { to } => peers::send_heartbeat(self, to),
+                Action::Probe { tag, address } => probes::spawn(self, tag, address),
+                Action::Pull { from, kinds } => peers::pull(self, from, kinds),
+            }
+        }
+    }
+
+    /// The address that packets for a client are sent to. All clients listen on
+    /// the port on which this VM does.
+    pub fn client_address(&self, client: SocketAddrV4) -> SocketAddrV4 {
+        SocketAddrV4::new(*client.ip(), self.settings.packets.port())
+    }
+
+    /// Stops as planned: other VMs get the new flows, and packets are steered
+    /// until none comes any more.
+    pub async fn stop(self: &Rc<Self>) {
+        let since = self.clock.now();
+        self.steering.borrow_mut().stop(since);
+        self.act();
+        let limit = self.settings.stop_time - STOP_MARGIN;
+        loop {
+            sleep(Duration::from_millis(TICK.0)).await;
+            let now = self.clock.now();
+            let stopped_for = now.since(since);
+            let quiet_for = now.since(self.last_packet.get());
+            let is_done = stopped_for >= NOTICE_TIME && quiet_for >= QUIET_TIME;
+            if is_done || stopped_for >= limit {
+                return;
+            }
+        }
+    }
+}
+
+async fn tick<F: PlatformFormat + 'static>(node: Rc<Node<F>>) {
+    loop {
+        sleep(Duration::from_millis(TICK.0)).await;
+        node.steering.borrow_mut().tick(node.clock.now());
+        node.act();
+    }
+}
--- /dev/null
+++ b/src/edge/steering/probes.rs
@@ -0,0 +1,54 @@
+//! Probes: a connection to a backend server that may be dead.
+
+use std::{
+    io,
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    rc::Rc,
+    time::Duration, //
+};
+
+use actix_rt::{
+    net::TcpStream,
+    time::timeout, //
+};
+
+use super::{
+    format::PlatformFormat,
+    node::Node, //
+};
+use crate::core::steering::{
+    suspicion::{
+        PROBE_TIMEOUT,
+        ProbeOutcome, //
+    },
+    tag::Tag,
+};
+
+/// Probes a backend server.
+pub fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, tag: Tag, address: SocketAddrV4) {
+    let node = Rc::clone(node);
+    actix_rt::spawn(async move {
+        let outcome = probe(address).await;
+        tracing::info!(backend = %tag, %address, ?outcome, "a backend server was probed");
+        let now = node.clock.now();
+        node.steering.borrow_mut().on_probe(tag, outcome, now);
+        node.act();
+    });
+}
+
+async fn probe(address: SocketAddrV4) -> ProbeOutcome {
+    let limit = Duration::from_millis(PROBE_TIMEOUT.0);
+    match timeout(limit, TcpStream::connect(SocketAddr::from(address))).await {
+        Ok(Ok(_)) => ProbeOutcome::Accepted,
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
+        // Other errors are this VM's own, such as a lack of descriptors.
+        Ok(Err(e)) => {
+            tracing::warn!(error = %e, %address, "a backend server could not be probed");
+            ProbeOutcome::Accepted
+        }
+        Err(_) => ProbeOutcome::TimedOut,
+    }
+}
--- /dev/null
+++ b/src/edge/steering/ready.rs
@@ -0,0 +1,87 @@
+//! The readiness probe of the routers, over HTTP.
+
+use std::{
+    convert::Infallible,
+    io,
+    rc::Rc,
+    time::Duration, //
+};
+
+use actix_http::{
+    HttpService,
+    Request,
+    Response,
+    StatusCode, //
+};
+use actix_rt::net::TcpListener;
+use actix_service::{
+    IntoServiceFactory,
+    Service,
+    ServiceFactory,
+    fn_service, //
+};
+
+use super::{
+    format::PlatformFormat,
+    node::Node, //
+};
+
+/// How long a connection without requests is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
+/// Starts to answer probes.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) -> io::Result<()> {
+    let listener = TcpListener::bind(node.settings.ready).await?;
+    let answering = Rc::clone(node);
+    let factory = HttpService::build()
+        .keep_alive(KEEP_ALIVE)
+        .h1(fn_service(move |req: Request| {
+            let response = answer(&answering, &req);
+            async move { Ok::<_, Infallible>(response) }
+        })
+        .into_factory())
+        .tcp();
+    let service = factory
+        .new_service(())
+        .await
+        .map_err(|()| io::Error::other("the readiness service did not start"))?;
+    actix_rt::spawn(accept(listener, Rc::new(service)));
+    Ok(())
+}
+
+async fn accept<S>(listener: TcpListener, service: Rc<S>)
+where
+    S: Service<actix_rt::net::TcpStream> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let service = Rc::clone(&service);
+                actix_rt::spawn(async move {
+                    if service.call(stream).await.is_err() {
+                        tracing::debug!("a connection of a probe broke off");
+                    }
+                });
+            }
+            Err(e) => {
+                tracing::warn!(error = %e, "cannot take a connection of a probe");
+                actix_rt::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+fn answer<F: PlatformFormat>(node: &Node<F>, req: &Request) -> Response<&'static str> {
+    if req.path() != node.format.readiness_path() {
+        return Response::new(StatusCode::NOT_FOUND)
+            .set_body("there is only the readiness probe\n");
+    }
+    if node.steering.borrow().is_ready() {
+        return Response::new(StatusCode::OK).set_body("ready\n");
+    }
+    Response::new(StatusCode::SERVICE_UNAVAILABLE).set_body("not ready\n")
+}
--- a/src/kernel/clock.rs
+++ b/src/kernel/clock.rs
@@ -123,6 +123,14 @@
     }
 }
 
+impl Sub for Millis {
+    type Output = Millis;
+
+    fn sub(self, other: Millis) -> Millis {
+        Millis(self.0.saturating_sub(other.0))
+    }
+}
+
 impl AddAssign<Millis> for Time {
     fn add_assign(&mut self, span: Millis) {
         *self = *self + span;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -28,6 +28,7 @@
 mod platform;
 mod problem;
 mod reader;
+mod steering;
 mod stop;
 mod vm;
 
@@ -43,6 +44,7 @@
     SettingsError, //
 };
 
+pub use steering::SteeringSettings;
 pub use stop::Stop;
 
 use reader::Reader;
@@ -97,17 +99,28 @@
     /// Fails if `text` is not INI or the settings make no sense. The error
     /// lists every problem.
     pub fn parse(text: &str) -> Result<Settings, SettingsError> {
-        let ini = Ini::load_from_str_noescape(text).map_err(|e| SettingsError::Syntax {
-            line: e.line + 1,
-            text: e.msg.into_owned(),
-        })?;
-        let mut rx = Reader::new(&ini);
-        let settings = read(&mut rx);
-        let problems = rx.finish();
-        match settings {
-            Some(settings) if problems.is_empty() => Ok(settings),
-            _ => Err(SettingsError::Invalid { problems }),
-        }
+        parse_ini(text, read)
+    }
+}
+
+/// Reads settings from `text` with `read`, and gathers all problems.
+fn parse_ini<T>(
+    text: &str,
+    read: impl Fn(&mut Reader<'_>) -> Option<T>,
+) -> Result<T, SettingsError> {
+    /// Some editors put this in front of a file.
+    const BYTE_ORDER_MARK: char = '\u{feff}';
+    let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text);
+    let ini = Ini::load_from_str_noescape(text).map_err(|e| SettingsError::Syntax {
+        line: e.line + 1,
+        text: e.msg.into_owned(),
+    })?;
+    let mut rx = Reader::new(&ini);
+    let settings = read(&mut rx);
+    let problems = rx.finish();
+    match settings {
+        Some(settings) if problems.is_empty() => Ok(settings),
+        _ => Err(SettingsError::Invalid { problems }),
     }
 }
 
--- /dev/null
+++ b/src/settings/steering.rs
@@ -0,0 +1,135 @@
+//! The settings of an entry VM that steers by tag.
+//!
+//! | section | key | default | meaning |
+//! |---|---|---|---|
+//! | `[vm]` | `name` | required | the VM's unique name |
+//! | `[vm]` | `data-centre` | required | the data centre that it stands in |
+//! | `[listen]` | `packets` | required | UDP, packets of clients; clients listen on the same port |
+//! | `[listen]` | `ready` | required | TCP, HTTP readiness probe |
+//! | `[listen]` | `peers` | required | TCP and UDP, messages of other VMs |
+//! | `[store]` | `address` | required | TCP, the HTTP address of the platform's store |
+//! | `[seeds]` | `addresses` | none | other VMs, `IP:PORT,..`; the port of `peers` is used |
+//! | `[stop]` | `seconds` | 6 | how long a planned stop may take |
+//!
+//! `[log]` and `[log-levels]` are those of every entry VM.
+
+use std::{
+    fs,
+    net::SocketAddrV4,
+    path::Path, //
+};
+
+use super::{
+    Log,
+    SettingsError,
+    log,
+    parse_ini,
+    reader::Reader,
+    vm, //
+};
+use crate::{
+    core::names::{
+        DataCentreId,
+        VmId, //
+    },
+    kernel::clock::Millis,
+};
+
+const ADDRESS_REMEDY: &str = "IPv4:PORT with a port other than 0";
+
+const SEEDS_REMEDY: &str = "IPv4:PORT,IPv4:PORT,..";
+
+const STOP_REMEDY: &str = "seconds between 2 and 3600";
+
+const DEFAULT_STOP: Millis = Millis::from_secs(6);
+
+/// The settings of an entry VM that steers by tag.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SteeringSettings {
+    /// The VM's name.
+    pub vm: VmId,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreId,
+    /// The UDP address for packets of clients.
+    pub packets: SocketAddrV4,
+    /// The HTTP address of the readiness probe.
+    pub ready: SocketAddrV4,
+    /// The TCP and UDP address for messages of other VMs.
+    pub peers: SocketAddrV4,
+    /// The HTTP address of the platform's store.
+    pub store: SocketAddrV4,
+    /// Where other VMs may be found.
+    pub seeds: Vec<SocketAddrV4>,
+    /// How long a planned stop may take.
+    pub stop_time: Millis,
+    /// What is logged and how.
+    pub log: Log,
+}
+
+impl SteeringSettings {
+    /// Reads the settings from the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or the settings make no sense.
+    pub fn load(path: impl AsRef<Path>) -> Result<SteeringSettings, SettingsError> {
+        let text =
+            fs::read_to_string(path).map_err(|source| SettingsError::Unreadable { source })?;
+        SteeringSettings::parse(&text)
+    }
+
+    /// Reads the settings from `text`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `text` is not INI or the settings make no sense. The error
+    /// lists every problem.
+    pub fn parse(text: &str) -> Result<SteeringSettings, SettingsError> {
+        parse_ini(text, read)
+    }
+}
+
+fn read(rx: &mut Reader<'_>) -> Option<SteeringSettings> {
+    let vm = vm::read(rx);
+    let packets = rx.required("listen", "packets", ADDRESS_REMEDY, parse_address);
+    let ready = rx.required("listen", "ready", ADDRESS_REMEDY, parse_address);
+    let peers = rx.required("listen", "peers", ADDRESS_REMEDY, parse_address);
+    let store = rx.required("store", "address", ADDRESS_REMEDY, parse_address);
+    let seeds = rx.optional("seeds", "addresses", Vec::new(), SEEDS_REMEDY, parse_seeds);
+    let stop_time = rx.optional("stop", "seconds", DEFAULT_STOP, STOP_REMEDY, parse_seconds);
+    let log = log::read(rx);
+    let (vm, peers) = (vm?, peers?);
+    Some(SteeringSettings {
+        vm: vm.name,
+        data_centre: vm.data_centre,
+        packets: packets?,
+        ready: ready?,
+        peers,
+        store: store?,
+        seeds: seeds
+            .iter()
+            .map(|seed| SocketAddrV4::new(*seed.ip(), peers.port()))
+            .collect(),
+        stop_time,
+        log,
+    })
+}
+
+fn parse_address(text: &str) -> Option<SocketAddrV4> {
+    text.parse().ok().filter(|a: &SocketAddrV4| a.port() != 0)
+}
+
+fn parse_seeds(text: &str) -> Option<Vec<SocketAddrV4>> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|seed| !seed.is_empty())
+        .map(parse_address)
+        .collect()
+}
+
+fn parse_seconds(text: &str) -> Option<Millis> {
+    let seconds: f64 = text.parse().ok()?;
+    (2.0..=3_600.0)
+        .contains(&seconds)
+        .then_some(Millis((seconds * 1_000.0) as u64))
+}
