Prove a backend server dead by a probe, hold packets until informed, bound cold starts

Two clients repeating themselves twice counted as proof, but a backend server acknowledges single packets only with its answer, so a queue of 600 ms looks the same (logs: dead on repeats alone, probe accepted 2 ms later). Ruled out: cut links (probe accepted). Now only a refused or twice timed out connection beside the repeats counts.

--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -79,4 +79,19 @@
     6002 OwnershipGained Info "This VM hands out the slots of a backend server.";
     6003 OwnershipReleased Info "This VM has handed a backend server over.";
     6004 OwnershipLapsed Warn "This VM lost a backend server because promises were not renewed.";
+    // 7000: steering by tag.
+    7001 FlowPlaced Info "A new flow was sent to a backend server.";
+    7002 FlowReset Info "A client was told that its flow is over.";
+    7003 PacketDropped Info "A packet was dropped; the client repeats it.";
+    7004 BackendDead Warn "A backend server does not react; its flows were reset.";
+    7005 BackendRevived Info "A backend server that was held for dead accepts connections again.";
+    7006 BackendEnded Info "The store no longer lists a backend server, or lists a later run of it; its flows were reset.";
+    7007 Learnt Info "Something new at the store is in force here.";
+    7008 Ready Info "This VM serves new flows.";
+    7009 NotReady Warn "This VM cannot serve new flows, and tells the routers so.";
+    7010 StoreLost Warn "The store does not answer this VM.";
+    7011 StoreRegained Info "The store answers this VM again.";
+    7012 PeerFound Info "Another VM was heard.";
+    7013 PeerSilent Warn "Another VM is no longer heard.";
+    7014 LinesSuppressed Info "Lines of one event were left out in the last second.";
 }
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -1,7 +1,12 @@
 //! What VMs learn from the store and from each other.
 
 use super::{
-    Action, Steering,
+    Action,
+    Steering,
+    decision::{
+        Decision,
+        Source, //
+    },
     peers::{
         Belief,
         Heartbeat,
@@ -17,7 +22,7 @@
         Object,
         Revision,
         Value, //
-    },
+    }, //
 };
 use crate::kernel::clock::{
     Millis,
@@ -75,6 +80,7 @@
         update: Update,
         revision: Revision,
         as_of: Time,
+        source: Source,
         now: Time,
     ) {
         let has_changes = match &update {
@@ -89,7 +95,17 @@
             self.peers.hurry(now);
         }
         self.beliefs.advance(kind, revision, has_changes, as_of);
+        if has_changes {
+            self.decisions.push(Decision::Learnt {
+                kind,
+                revision,
+                version: self.routing.configuration().version,
+                source,
+                age: now.since(as_of),
+            });
+        }
         self.end_flows(now);
+        self.review_readiness(now);
     }
 
     fn apply_all(&mut self, kind: Kind, objects: Vec<Object>, revision: Revision, now: Time) {
@@ -149,7 +165,11 @@
         }
         let (from, loads) = (heartbeat.address, heartbeat.loads.clone());
         let wanted = self.compare(&heartbeat.beliefs, now);
+        let sender = heartbeat.clone();
         let before = self.peers.hear(heartbeat, now);
+        if before.is_none() && from != self.me.address {
+            self.note_peer(true, &sender);
+        }
         let before = before.map_or(Vec::new(), |h| h.loads);
         self.remote.replace(&before, &loads);
         if !wanted.is_empty() {
@@ -221,7 +241,7 @@
             }
             let as_of = now - age - TRANSIT;
             let update = Update::All(part.objects);
-            self.apply(part.kind, update, revision, as_of, now);
+            self.apply(part.kind, update, revision, as_of, Source::Peer, now);
             self.beliefs.adopt_changed(part.kind, changed);
         }
     }
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -26,6 +26,10 @@
 /// packet.
 const OPENING_TIME: Millis = Millis::from_secs(3);
 
+/// A copy of a packet counts as a repeat only if this VM sent the one before it
+/// on that long ago. Copies that were held up together show nothing.
+const OVERDUE: Millis = Millis(150);
+
 /// What a packet shows of the backend server that holds its flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Sign {
@@ -60,6 +64,8 @@
     /// The number behind the last byte that the client has sent.
     sent: u32,
     repeats: u8,
+    /// When the data that wait for an answer were last sent on.
+    sent_on: Time,
     opened_at: Time,
     seen: Time,
 }
@@ -255,6 +261,7 @@
             copies: copy,
             sent: packet.seq,
             repeats: 0,
+            sent_on: now,
             opened_at: now,
             seen: now,
         }
@@ -271,6 +278,7 @@
             copies: 0,
             sent: packet.end(),
             repeats: 0,
+            sent_on: now,
             opened_at: now,
             seen: now,
         }
@@ -289,7 +297,7 @@
             self.repeats = 0;
             self.is_waiting = false;
         }
-        let repeated = self.note_data(packet);
+        let repeated = self.note_data(packet, now);
         if has_answer {
             return Sign::Alive(self.tag);
         }
@@ -303,17 +311,19 @@
         Sign::None
     }
 
-    /// Returns whether the packet's data were sent before.
-    fn note_data(&mut self, packet: &Packet) -> bool {
+    /// Returns whether the packet's data were sent on before, so long ago that
+    /// an answer is overdue.
+    fn note_data(&mut self, packet: &Packet, now: Time) -> bool {
         if packet.len == 0 {
             return false;
         }
+        let sent_on = std::mem::replace(&mut self.sent_on, now);
         if is_after(packet.end(), self.sent) {
             self.sent = packet.end();
             self.is_waiting = true;
             return false;
         }
-        true
+        now.since(sent_on) >= OVERDUE
     }
 
     fn lifetime(&self, idle_timeout: Millis) -> Millis {
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -14,6 +14,8 @@
     rngs::SmallRng, //
 };
 
+pub mod cold;
+pub mod decision;
 pub mod directory;
 pub mod flows;
 pub mod packet;
@@ -30,9 +32,15 @@
 mod steer;
 
 use beliefs::Beliefs;
+use cold::ColdBudget;
+use decision::{
+    Decision,
+    Source, //
+};
 use directory::{
     Directory,
-    Ended, //
+    Ended,
+    Fitness, //
 };
 use flows::FlowTable;
 use packet::{
@@ -41,6 +49,7 @@
 };
 use peers::{
     HEARTBEAT_INTERVAL,
+    Heartbeat,
     Peers,
     RemoteLoads, //
 };
@@ -56,6 +65,7 @@
 };
 use suspicion::{
     ProbeOutcome,
+    Standing,
     Suspicion, //
 };
 use tag::Tag;
@@ -117,6 +127,44 @@
     },
 }
 
+/// How long a VM must be unable to place flows before it says so.
+const UNREADY_AFTER: Millis = Millis(300);
+
+/// How long the routers may take to notice that a VM is no longer ready.
+pub const NOTICE_TIME: Millis = Millis(1_500);
+
+/// Whether this VM serves new flows.
+#[derive(Clone, Copy, Debug, Default)]
+struct Readiness {
+    is_ready: bool,
+    /// Since when it cannot.
+    failing: Option<Time>,
+}
+
+impl Readiness {
+    /// Tells whether the routers may soon send clients to other VMs.
+    fn is_handing_over(&self, now: Time) -> bool {
+        self.failing
+            .is_some_and(|since| now.since(since) < UNREADY_AFTER + NOTICE_TIME)
+    }
+
+    /// Takes in whether the VM can serve new flows now. Returns whether this
+    /// changed its readiness.
+    fn review(&mut self, can_serve: bool, now: Time) -> bool {
+        if can_serve {
+            self.failing = None;
+        } else {
+            self.failing.get_or_insert(now);
+        }
+        let was_ready = self.is_ready;
+        self.is_ready = match self.failing {
+            None => true,
+            Some(since) => was_ready && now.since(since) < UNREADY_AFTER,
+        };
+        was_ready != self.is_ready
+    }
+}
+
 /// Steers the packets of one VM.
 #[derive(Debug)]
 pub struct Steering {
@@ -125,6 +173,7 @@
     directory: Directory,
     flows: FlowTable,
     suspicion: Suspicion,
+    cold: ColdBudget,
     peers: Peers,
     remote: RemoteLoads,
     beliefs: Beliefs,
@@ -133,8 +182,12 @@
     rng: SmallRng,
     is_stopping: bool,
     next_sweep: Time,
-    /// Invariant: in the order of the decisions.
+    /// Whether this VM can place new flows, and since when not.
+    readiness: Readiness,
+    /// Invariant: in the order in which they were decided.
     actions: Vec<Action>,
+    /// Invariant: in the order in which they were decided.
+    decisions: Vec<Decision>,
 }
 
 impl Steering {
@@ -147,19 +200,27 @@
             directory: Directory::default(),
             flows: FlowTable::default(),
             suspicion: Suspicion::default(),
+            cold: ColdBudget::default(),
             remote: RemoteLoads::default(),
             beliefs: Beliefs::default(),
             readers: Kind::ALL.map(Reader::open),
             rng: SmallRng::seed_from_u64(rng_seed),
             is_stopping: false,
             next_sweep: Time::default(),
+            readiness: Readiness::default(),
             actions: Vec::new(),
+            decisions: Vec::new(),
         }
     }
 
-    /// Tells whether this VM can steer new flows and is not about to stop.
+    /// Tells whether this VM can serve new flows and is not about to stop.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping && self.routing.is_known() && self.beliefs.knows(Kind::BackendServers)
+        !self.is_stopping && self.readiness.is_ready
+    }
+
+    /// Tells whether this VM knows enough to steer packets.
+    pub fn is_informed(&self) -> bool {
+        self.routing.is_known() && self.beliefs.knows(Kind::BackendServers)
     }
 
     /// Begins a planned stop: new flows should go to other VMs.
@@ -178,14 +239,19 @@
     /// Takes in the answer to a call that was sent at `sent`.
     pub fn on_answer(&mut self, call: &StoreCall, answer: StoreAnswer, sent: Time, now: Time) {
         let kind = call.kind();
-        if matches!(answer, StoreAnswer::Busy | StoreAnswer::NoAnswer) {
+        let answers = !matches!(answer, StoreAnswer::Busy | StoreAnswer::NoAnswer);
+        if !answers {
             self.beliefs.note_trouble(now);
         }
+        if answers != self.readers[kind as usize].was_answered() {
+            self.decisions
+                .push(Decision::StoreAnswers { answers, kind });
+        }
         let read = self.readers[kind as usize].on_answer(answer, now, &mut self.rng);
         let Some((update, revision)) = read else {
             return;
         };
-        self.apply(kind, update, revision, sent, now);
+        self.apply(kind, update, revision, sent, Source::Store, now);
     }
 
     /// Does what has become due.
@@ -194,6 +260,7 @@
         self.end_flows(now);
         self.forget_lost(now);
         self.probe(now);
+        self.review_readiness(now);
         for to in self.peers.take_due(now) {
             self.actions.push(Action::Heartbeat { to });
         }
@@ -201,6 +268,7 @@
             self.next_sweep = now + SWEEP_INTERVAL;
             self.flows.sweep(self.idle_timeout(), now);
             self.suspicion.sweep(now);
+            self.cold.sweep(now);
         }
     }
 
@@ -209,11 +277,20 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes what was decided since the last call, for the log.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Takes in what a probe found.
     pub fn on_probe(&mut self, tag: Tag, outcome: ProbeOutcome, now: Time) {
+        let was_dead = self.suspicion.standing(tag) == Standing::Dead;
         if self.suspicion.probed(tag, outcome, now) {
             self.declare_dead(tag, now);
         }
+        if was_dead && outcome == ProbeOutcome::Accepted {
+            self.decisions.push(Decision::BackendRevived { tag });
+        }
     }
 
     fn probe(&mut self, now: Time) {
@@ -233,29 +310,80 @@
         for ended in self.directory.take_ended() {
             let (Ended::Gone(tag) | Ended::Restarted(tag)) = ended;
             self.suspicion.acquit(tag);
-            self.reset_flows(tag, ResetReason::BackendGone, now);
+            let flows = self.reset_flows(tag, ResetReason::BackendGone, now);
+            self.decisions.push(Decision::BackendEnded { tag, flows });
         }
     }
 
     fn declare_dead(&mut self, tag: Tag, now: Time) {
-        self.reset_flows(tag, ResetReason::BackendDead, now);
+        let flows = self.reset_flows(tag, ResetReason::BackendDead, now);
+        let evidence = self.suspicion.evidence(tag);
+        self.decisions.push(Decision::BackendDead {
+            tag,
+            evidence,
+            flows,
+        });
         self.peers.hurry(now);
     }
 
-    /// Tells the clients of a backend server that their flows are over.
-    fn reset_flows(&mut self, tag: Tag, reason: ResetReason, now: Time) {
-        for (flow, seq) in self.flows.take_of(tag, now) {
-            self.actions
-                .push(Action::Reset(Reset { flow, seq, reason }));
+    /// Tells the clients of a backend server that their flows are over. Returns
+    /// the number of flows.
+    fn reset_flows(&mut self, tag: Tag, reason: ResetReason, now: Time) -> usize {
+        let flows = self.flows.take_of(tag, now);
+        for (flow, seq) in &flows {
+            let reset = Reset {
+                flow: *flow,
+                seq: *seq,
+                reason,
+            };
+            self.actions.push(Action::Reset(reset));
         }
+        flows.len()
     }
 
     fn forget_lost(&mut self, now: Time) {
         for lost in self.peers.take_lost(now) {
             self.remote.replace(&lost.loads, &[]);
+            self.note_peer(false, &lost);
         }
     }
 
+    fn note_peer(&mut self, is_heard: bool, peer: &Heartbeat) {
+        self.decisions.push(Decision::PeerHeard {
+            is_heard,
+            vm: peer.vm.clone(),
+            data_centre: peer.data_centre.clone(),
+            address: peer.address,
+        });
+    }
+
+    /// A VM that can place no flow at all says so, and the routers send its
+    /// clients to VMs that may.
+    fn review_readiness(&mut self, now: Time) {
+        let backends = self.count_fit(now);
+        let can_serve = self.is_informed() && (backends > 0 || self.knows_no_backend());
+        if self.readiness.review(can_serve, now) {
+            let is_ready = self.readiness.is_ready;
+            self.decisions
+                .push(Decision::Readiness { is_ready, backends });
+        }
+    }
+
+    /// The number of backend servers that may get new flows.
+    fn count_fit(&self, now: Time) -> usize {
+        self.directory
+            .iter()
+            .filter(|(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
+            .filter(|(tag, _)| self.suspicion.standing(*tag) != Standing::Dead)
+            .count()
+    }
+
+    /// Tells whether there is no backend server anywhere, which no other VM can
+    /// help with.
+    fn knows_no_backend(&self) -> bool {
+        self.directory.iter().all(|(_, e)| !e.may_live())
+    }
+
     fn idle_timeout(&self) -> Millis {
         /// Used before the configuration is known.
         const DEFAULT: Millis = Millis::from_secs(15);
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -34,7 +34,7 @@
 pub const HEARTBEAT_INTERVAL: Millis = Millis(250);
 
 /// A VM that was not heard for this long counts as lost.
-pub const LOST_AFTER: Millis = Millis(1_000);
+pub const LOST_AFTER: Millis = Millis(800);
 
 /// The time between two heartbeats to a VM that was not heard.
 const SEARCH_INTERVAL: Millis = Millis(1_000);
--- a/src/core/steering/placing.rs
+++ b/src/core/steering/placing.rs
@@ -14,6 +14,10 @@
 use smallvec::SmallVec;
 
 use super::{
+    cold::{
+        self,
+        ColdBudget, //
+    },
     directory::{
         Directory,
         Entry,
@@ -30,7 +34,8 @@
 use crate::{
     core::names::{
         DataCentreId,
-        ServiceId, //
+        ServiceId,
+        VmId, //
     },
     kernel::clock::Time,
 };
@@ -52,6 +57,12 @@
     pub flows: &'a FlowTable,
     /// The flows of other VMs.
     pub remote: &'a RemoteLoads,
+    /// The new flows that backend servers in cold start got.
+    pub cold: &'a ColdBudget,
+    /// The name of this VM.
+    pub me: &'a VmId,
+    /// The names of the other VMs that are heard.
+    pub others: &'a [&'a VmId],
     /// The evidence against backend servers.
     pub suspicion: &'a Suspicion,
     /// The data centre of this VM and of its clients.
@@ -108,6 +119,9 @@
 
     fn fitness(&self, tag: Tag, entry: &Entry) -> Fitness {
         let fitness = self.directory.fitness(entry, self.now);
+        if fitness == Fitness::Cold && !self.may_warm(tag) {
+            return Fitness::Unfit;
+        }
         match self.suspicion.standing(tag) {
             Standing::Trusted => fitness,
             // Better than a cold start, which bears a limited number of flows.
@@ -116,6 +130,12 @@
         }
     }
 
+    /// Tells whether this VM may send a flow to a backend server in cold start.
+    fn may_warm(&self, tag: Tag) -> bool {
+        let others = self.others.iter().copied();
+        self.cold.has_room(tag, self.now) && cold::is_first(tag, self.me, others)
+    }
+
     /// Work for each slot.
     fn load(&self, tag: Tag, entry: &Entry) -> f64 {
         let here = self.flows.load(tag);
--- a/src/core/steering/reading.rs
+++ b/src/core/steering/reading.rs
@@ -58,6 +58,8 @@
     failures: u32,
     /// No call is made before.
     pause_until: Time,
+    /// Whether the last call was answered; true before the first.
+    is_answered: bool,
 }
 
 #[derive(Debug)]
@@ -90,6 +92,7 @@
             state: State::from_start(),
             failures: 0,
             pause_until: Time::default(),
+            is_answered: true,
         }
     }
 
@@ -123,6 +126,11 @@
         }
     }
 
+    /// Tells whether the last call was answered.
+    pub fn was_answered(&self) -> bool {
+        self.is_answered
+    }
+
     /// Takes in an answer. Returns what was read and as of which version.
     pub fn on_answer(
         &mut self,
@@ -130,6 +138,7 @@
         now: Time,
         rng: &mut SmallRng,
     ) -> Option<(Update, Revision)> {
+        self.is_answered = !matches!(answer, StoreAnswer::Busy | StoreAnswer::NoAnswer);
         match answer {
             StoreAnswer::Page {
                 objects,
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Steering,
+    decision::Decision,
     directory::{
         Entry,
         Fitness, //
@@ -20,19 +21,41 @@
     placing::Place,
     store::Kind,
     suspicion::Standing,
-    tag::Tag,
+    tag::Tag, //
 };
 use crate::{
-    core::names::ServiceId,
+    core::names::{
+        ServiceId,
+        VmId, //
+    },
     kernel::clock::Time, //
 };
 
 impl Steering {
     /// Decides about a client's packet.
     pub fn on_packet(&mut self, packet: &Packet, now: Time) -> Verdict {
-        match packet.role {
+        let verdict = match packet.role {
             Role::Open { copy } => self.open_flow(packet, copy, now),
             Role::Continue { closes, rejects } => self.continue_flow(packet, closes, rejects, now),
+        };
+        self.note_verdict(packet, verdict);
+        verdict
+    }
+
+    fn note_verdict(&mut self, packet: &Packet, verdict: Verdict) {
+        let (flow, tag) = (packet.flow, packet.tag);
+        match verdict {
+            Verdict::Forward(_) => {}
+            Verdict::Reset(reason) => self.decisions.push(Decision::FlowReset {
+                flow,
+                tag,
+                reason,
+                configuration: self.routing.revision(),
+            }),
+            Verdict::Drop(reason) => {
+                self.decisions
+                    .push(Decision::PacketDropped { flow, tag, reason });
+            }
         }
     }
 
@@ -46,29 +69,48 @@
         let offered: SmallVec<[Tag; 3]> = match self.flows.offers(&packet.flow, copy, now) {
             None => SmallVec::new(),
             // The same copy may arrive twice.
-            Some((offered, true)) => return self.repeat_offer(packet, offered.last().copied()),
+            Some((offered, true)) => return self.repeat_offer(offered.last().copied()),
             Some((offered, false)) => SmallVec::from_slice(offered),
         };
         for tag in &offered {
             self.accuse(*tag, packet, copy.min(u32::from(u8::MAX)) as u8, now);
         }
-        match self.place(packet, &offered, now) {
-            Some(tag) => {
-                self.flows.offer(packet, copy, tag, now);
-                self.forward(tag)
-            }
-            None => Verdict::Reset(ResetReason::NoBackend),
+        let Some((tag, fitness)) = self.place(packet, &offered, now) else {
+            return self.refuse(now);
+        };
+        self.flows.offer(packet, copy, tag, now);
+        if fitness == Fitness::Cold {
+            self.cold.spend(tag, now);
+        }
+        self.decisions.push(Decision::FlowPlaced {
+            flow: packet.flow,
+            copy,
+            tag,
+            fitness,
+            configuration: self.routing.revision(),
+            age: now.since(self.beliefs.get(Kind::BackendServers).as_of),
+        });
+        self.forward(tag)
+    }
+
+    /// Refuses a new flow that no backend server can take. While the routers
+    /// notice that this VM is not ready, the packet is left unanswered: the
+    /// client's next copy goes to a VM that can serve it.
+    fn refuse(&self, now: Time) -> Verdict {
+        if self.readiness.is_handing_over(now) {
+            return Verdict::Drop(DropReason::NoBackend);
         }
+        Verdict::Reset(ResetReason::NoBackend)
     }
 
-    fn repeat_offer(&self, _packet: &Packet, tag: Option<Tag>) -> Verdict {
+    fn repeat_offer(&self, tag: Option<Tag>) -> Verdict {
         tag.map_or(Verdict::Drop(DropReason::NoBackend), |t| self.forward(t))
     }
 
     /// Chooses a backend server among the services of the route, the one whose
     /// turn it is first. A service without a backend server that is ready comes
     /// after those that have one.
-    fn place(&mut self, packet: &Packet, offered: &[Tag], now: Time) -> Option<Tag> {
+    fn place(&mut self, packet: &Packet, offered: &[Tag], now: Time) -> Option<(Tag, Fitness)> {
         let services = self.routing.take_turn(packet.flow.service);
         let mut found: Option<(Tag, Fitness)> = None;
         for service in &services {
@@ -76,13 +118,13 @@
                 continue;
             };
             if fitness == Fitness::Ready {
-                return Some(tag);
+                return Some((tag, fitness));
             }
             if found.is_none_or(|(_, best)| fitness < best) {
                 found = Some((tag, fitness));
             }
         }
-        found.map(|(tag, _)| tag)
+        found
     }
 
     fn choose(
@@ -91,7 +133,11 @@
         offered: &[Tag],
         now: Time,
     ) -> Option<(Tag, Fitness)> {
+        let others: SmallVec<[&VmId; 32]> = self.peers.live(now).map(|m| &m.heartbeat.vm).collect();
         let place = Place {
+            cold: &self.cold,
+            me: &self.me.vm,
+            others: &others,
             directory: &self.directory,
             flows: &self.flows,
             remote: &self.remote,
@@ -158,11 +204,6 @@
             self.declare_dead(tag, now);
         }
     }
-
-    /// Tells whether this VM knows enough to place flows.
-    fn is_informed(&self) -> bool {
-        self.routing.is_known() && self.beliefs.knows(Kind::BackendServers)
-    }
 }
 
 fn target(tag: Tag, entry: &Entry) -> Target {
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -3,8 +3,8 @@
 //! Answers do not pass this VM. What shows that a backend server is dead are
 //! clients who repeat themselves without progress, and a connection that it
 //! does not accept. Only both together count, because a mistake would break the
-//! flows of a backend server that lives. Clients of at least two flows, each
-//! twice, count as the second kind of evidence for each other.
+//! flows of a backend server that lives: one that has much to do lets clients
+//! repeat themselves, too, and a single connection may fail by chance.
 
 use hashbrown::HashMap;
 use smallvec::SmallVec;
@@ -18,17 +18,20 @@
     Time, //
 };
 
-/// Repeats that count as strong evidence: 200 ms and 400 ms without an answer.
+/// Repeats on one flow that make a backend server suspect.
 const STRONG_REPEATS: u8 = 2;
 
-/// Flows whose clients repeat themselves, after which no probe is waited for.
+/// Flows with a repeat each that make a backend server suspect.
 const ENOUGH_FLOWS: usize = 2;
 
 /// How long evidence is kept.
 const EVIDENCE_TIME: Millis = Millis::from_secs(3);
 
 /// How long a backend server may take to accept a probe's connection.
-pub const PROBE_TIMEOUT: Millis = Millis(250);
+pub const PROBE_TIMEOUT: Millis = Millis(120);
+
+/// How many connections in a row have to time out.
+pub const PROBE_ATTEMPTS: usize = 2;
 
 /// The time between two probes of a backend server.
 const PROBE_INTERVAL: Millis = Millis::from_secs(1);
@@ -40,8 +43,10 @@
     Accepted,
     /// It was refused.
     Refused,
-    /// Nothing came within [`PROBE_TIMEOUT`].
+    /// No attempt was answered within [`PROBE_TIMEOUT`].
     TimedOut,
+    /// This VM had no time to see the answer, or could not ask.
+    Unclear,
 }
 
 /// What this VM thinks of a backend server.
@@ -81,6 +86,19 @@
     },
 }
 
+/// What speaks against a backend server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Evidence {
+    /// The flows whose clients repeat themselves, as far as they are counted.
+    pub silent_flows: usize,
+    /// The most repeats among these.
+    pub repeats: u8,
+    /// What the last probe found.
+    pub probe: Option<ProbeOutcome>,
+    /// Whether another VM holds it for dead.
+    pub reported: bool,
+}
+
 /// The evidence against backend servers.
 #[derive(Debug, Default)]
 pub struct Suspicion {
@@ -98,6 +116,11 @@
         }
     }
 
+    /// What speaks against a backend server.
+    pub fn evidence(&self, tag: Tag) -> Evidence {
+        self.cases.get(&tag).map(Case::evidence).unwrap_or_default()
+    }
+
     /// The backend servers that are dead.
     pub fn dead(&self) -> impl Iterator<Item = Tag> {
         self.cases
@@ -161,6 +184,19 @@
 }
 
 impl Case {
+    fn evidence(&self) -> Evidence {
+        let probe = match self.probe {
+            Probe::Answered { outcome, .. } => Some(outcome),
+            Probe::NotAsked | Probe::Asked { .. } => None,
+        };
+        Evidence {
+            silent_flows: self.silent.len(),
+            repeats: self.silent.iter().map(|(_, n)| *n).max().unwrap_or(0),
+            probe,
+            reported: self.reported,
+        }
+    }
+
     fn add(&mut self, flow: FlowId, repeats: u8) {
         if let Some(known) = self.silent.iter_mut().find(|(id, _)| *id == flow) {
             known.1 = known.1.max(repeats);
@@ -185,7 +221,12 @@
     }
 
     fn is_suspect(&self) -> bool {
-        self.reported || self.silent.len() >= ENOUGH_FLOWS || self.strong() > 0
+        self.reported || self.is_silent()
+    }
+
+    /// Tells whether clients of this VM wait in vain.
+    fn is_silent(&self) -> bool {
+        self.silent.len() >= ENOUGH_FLOWS || self.strong() > 0
     }
 
     fn wants_probe(&self, now: Time) -> bool {
@@ -212,8 +253,8 @@
             Probe::Answered {
                 outcome: ProbeOutcome::TimedOut,
                 ..
-            } => self.is_suspect(),
-            _ => self.strong() >= ENOUGH_FLOWS,
+            } => self.is_silent() || (self.reported && !self.silent.is_empty()),
+            _ => false,
         };
         self.dead
     }
--- a/src/edge/steering/mod.rs
+++ b/src/edge/steering/mod.rs
@@ -4,6 +4,7 @@
 //! threads would only take turns. Each module speaks to one outside party.
 
 pub mod format;
+pub mod log;
 pub mod node;
 pub mod packets;
 pub mod peers;
--- a/src/edge/steering/node.rs
+++ b/src/edge/steering/node.rs
@@ -18,6 +18,7 @@
 
 use super::{
     format::PlatformFormat,
+    log::DecisionLog,
     packets,
     peers,
     probes,
@@ -30,6 +31,7 @@
         steering::{
             Action,
             Identity,
+            NOTICE_TIME,
             Steering,
             TICK,
             store::Kind, //
@@ -43,9 +45,6 @@
     settings::SteeringSettings,
 };
 
-/// How long the routers may take to notice that a VM is no longer ready.
-const NOTICE_TIME: Millis = Millis(1_500);
-
 /// A stopping VM that got no packet for this long has nothing left to do.
 const QUIET_TIME: Millis = Millis(400);
 
@@ -62,6 +61,8 @@
     pub clock: Clock,
     /// The decisions. Never borrowed across an await.
     pub steering: RefCell<Steering>,
+    /// The log of decisions.
+    pub log: RefCell<DecisionLog>,
     /// Takes packets and sends them on.
     pub packets: UdpSocket,
     /// Takes and sends heartbeats.
@@ -89,6 +90,7 @@
             format,
             clock,
             steering: RefCell::new(Steering::open(me, &settings.seeds, rng_seed)),
+            log: RefCell::default(),
             packets: UdpSocket::bind(settings.packets).await?,
             heartbeats: UdpSocket::bind(settings.peers).await?,
             last_packet: Cell::new(Time::default()),
@@ -106,7 +108,14 @@
 
     /// Carries out what was decided.
     pub fn act(self: &Rc<Self>) {
-        let actions = self.steering.borrow_mut().take_actions();
+        let (actions, decisions) = {
+            let mut steering = self.steering.borrow_mut();
+            (steering.take_actions(), steering.take_decisions())
+        };
+        let now = self.clock.now();
+        for decision in &decisions {
+            self.log.borrow_mut().write(decision, now);
+        }
         for action in actions {
             match action {
                 Action::Reset(reset) => packets::send_reset(self, &reset),
--- a/src/edge/steering/packets.rs
+++ b/src/edge/steering/packets.rs
@@ -3,7 +3,8 @@
 use std::{
     cell::RefCell,
     io,
-    rc::Rc, //
+    rc::Rc,
+    time::Duration, //
 };
 
 use super::{
@@ -21,6 +22,9 @@
 /// The most packets that are taken before other work gets a turn.
 const BATCH: usize = 64;
 
+/// How often a VM that just started looks whether it can steer.
+const INFORMED_PAUSE: Duration = Duration::from_millis(2);
+
 thread_local! {
     /// The datagram that is being written. Reused, as packets are many.
     static OUT: RefCell<Vec<u8>> = RefCell::new(Vec::with_capacity(MAX_DATAGRAM));
@@ -33,6 +37,7 @@
 
 async fn steer<F: PlatformFormat + 'static>(node: Rc<Node<F>>) {
     let mut buf = vec![0; MAX_DATAGRAM];
+    wait_until_informed(&node).await;
     loop {
         if let Err(e) = node.packets.readable().await {
             tracing::warn!(error = %e, "cannot wait for packets");
@@ -49,6 +54,14 @@
     }
 }
 
+/// Leaves packets in the socket's buffer until they can be steered, so that the
+/// first ones after a start are late instead of lost.
+async fn wait_until_informed<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) {
+    while !node.steering.borrow().is_informed() {
+        actix_rt::time::sleep(INFORMED_PAUSE).await;
+    }
+}
+
 fn on_datagram<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, datagram: &[u8]) {
     let packet = match node.format.read_packet(datagram) {
         Ok(packet) => packet,
@@ -69,15 +82,12 @@
             let (flow, seq) = (packet.flow, packet.ack);
             send_reset(node, &Reset { flow, seq, reason });
         }
-        Verdict::Drop(reason) => {
-            tracing::debug!(flow = %packet.flow, %reason, "a packet was dropped");
-        }
+        Verdict::Drop(_) => {}
     }
 }
 
 /// Tells a client that its flow is over.
 pub fn send_reset<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, reset: &Reset) {
-    tracing::info!(flow = %reset.flow, reason = %reset.reason, "a flow was reset");
     OUT.with_borrow_mut(|out| {
         node.format.write_reset(reset, out);
         send(node, out, node.client_address(reset.flow.client));
--- a/src/edge/steering/probes.rs
+++ b/src/edge/steering/probes.rs
@@ -19,19 +19,30 @@
     format::PlatformFormat,
     node::Node, //
 };
-use crate::core::steering::{
-    suspicion::{
-        PROBE_TIMEOUT,
-        ProbeOutcome, //
+use crate::{
+    core::steering::{
+        suspicion::{
+            PROBE_ATTEMPTS,
+            PROBE_TIMEOUT,
+            ProbeOutcome, //
+        },
+        tag::Tag, //
+    },
+    kernel::clock::{
+        Clock,
+        Millis, //
     },
-    tag::Tag,
 };
 
+/// A time-out that this VM notices later than this shows nothing: the answer may
+/// have been waiting.
+const MOST_LATE: Millis = Millis(60);
+
 /// Probes a backend server.
 pub fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, tag: Tag, address: SocketAddrV4) {
     let node = Rc::clone(node);
     actix_rt::spawn(async move {
-        let outcome = probe(address).await;
+        let outcome = probe(node.clock, address).await;
         tracing::info!(backend = %tag, %address, ?outcome, "a backend server was probed");
         let now = node.clock.now();
         node.steering.borrow_mut().on_probe(tag, outcome, now);
@@ -39,7 +50,18 @@
     });
 }
 
-async fn probe(address: SocketAddrV4) -> ProbeOutcome {
+async fn probe(clock: Clock, address: SocketAddrV4) -> ProbeOutcome {
+    for _ in 0..PROBE_ATTEMPTS {
+        let outcome = attempt(clock, address).await;
+        if outcome != ProbeOutcome::TimedOut {
+            return outcome;
+        }
+    }
+    ProbeOutcome::TimedOut
+}
+
+async fn attempt(clock: Clock, address: SocketAddrV4) -> ProbeOutcome {
+    let since = clock.now();
     let limit = Duration::from_millis(PROBE_TIMEOUT.0);
     match timeout(limit, TcpStream::connect(SocketAddr::from(address))).await {
         Ok(Ok(_)) => ProbeOutcome::Accepted,
@@ -47,8 +69,9 @@
         // Other errors are this VM's own, such as a lack of descriptors.
         Ok(Err(e)) => {
             tracing::warn!(error = %e, %address, "a backend server could not be probed");
-            ProbeOutcome::Accepted
+            ProbeOutcome::Unclear
         }
+        Err(_) if clock.now().since(since) > PROBE_TIMEOUT + MOST_LATE => ProbeOutcome::Unclear,
         Err(_) => ProbeOutcome::TimedOut,
     }
 }
