Let one VM among all that hear each other read the store

A watch that ended empty was dated from when it was sent, so that the other VMs found their knowledge too old and read as well (before: one reader for each data centre meant, 30 calls a second seen).

Change: an empty watch dates from its end; the first VM of all that hear each other reads, those that the store does not answer come last; watches of 1.5 s and 2.5 s. Others take over when knowledge is half a second older than a watch.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -15,7 +15,11 @@
         SnapshotRequest,
         TagLoad, //
     },
-    reading::Update,
+    reading::{
+        Reader,
+        Update,
+        watch_time, //
+    },
     store::{
         Change,
         Kind,
@@ -29,16 +33,17 @@
     Time, //
 };
 
-/// How old knowledge may be before a VM reads the store itself, if it is the
-/// first to do so.
-const FRESH_FOR: Millis = Millis(1_300);
+/// How much older than a watch lasts knowledge may be before a VM reads the
+/// store itself, if it is the first to do so. Readers tell the others with their
+/// next heartbeat.
+const READER_DELAY: Millis = Millis(500);
 
 /// Added for each VM that comes before this one, so that they do not all begin
 /// at once.
-const TURN: Millis = Millis(200);
+const TURN: Millis = Millis(100);
 
 /// The most that is added.
-const LONGEST_TURN: Millis = Millis(1_000);
+const LONGEST_TURN: Millis = Millis(400);
 
 /// Taken off the age that another VM tells, for the time on the way.
 const TRANSIT: Millis = Millis(20);
@@ -47,8 +52,8 @@
 const MAX_CONTACTS_TOLD: usize = 128;
 
 impl Steering {
-    /// Tells whether this VM reads a kind from the store: the first VM of each
-    /// data centre does, and any VM whose knowledge is too old.
+    /// Tells whether this VM reads a kind from the store: the first of the VMs
+    /// that hear each other does, and any VM whose knowledge is too old.
     pub(super) fn reads(&self, kind: Kind, now: Time) -> bool {
         let rank = self.rank(now);
         if rank == 0 {
@@ -57,21 +62,26 @@
         let Some(age) = self.beliefs.age(kind, now) else {
             return true;
         };
-        let turn = Millis(TURN.0 * rank as u64).0.min(LONGEST_TURN.0);
-        age > FRESH_FOR + Millis(turn)
+        let turn = (TURN.0 * rank as u64).min(LONGEST_TURN.0);
+        age > watch_time(kind) + READER_DELAY + Millis(turn)
     }
 
-    /// The number of live VMs of this data centre that come before this one.
+    /// The number of live VMs that come before this one. Those that the store
+    /// does not answer come last.
     fn rank(&self, now: Time) -> usize {
-        let mine = (self.is_stopping, &self.me.vm);
+        let mine = (self.is_stopping, !self.has_store(), &self.me.vm);
         self.peers
             .live(now)
             .map(|m| &m.heartbeat)
-            .filter(|h| h.data_centre == self.me.data_centre)
-            .filter(|h| (h.is_stopping, &h.vm) < mine)
+            .filter(|h| (h.is_stopping, !h.has_store, &h.vm) < mine)
             .count()
     }
 
+    /// Tells whether the store answered the last calls of this VM.
+    fn has_store(&self) -> bool {
+        self.readers.iter().all(Reader::was_answered)
+    }
+
     /// Takes in what was read of a kind, which the store had at `as_of` or
     /// later.
     pub(super) fn apply(
@@ -148,6 +158,7 @@
             data_centre: self.me.data_centre.clone(),
             address: self.me.address,
             is_stopping: self.is_stopping,
+            has_store: self.has_store(),
             beliefs: self.beliefs.export(now),
             trouble_age: self.beliefs.trouble().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -246,12 +246,15 @@
         if answers != self.readers[kind as usize].was_answered() {
             self.decisions
                 .push(Decision::StoreAnswers { answers, kind });
+            // Another VM may have to read in place of this one.
+            self.peers.hurry(now);
         }
+        let as_of = as_of(call, &answer, sent, now);
         let read = self.readers[kind as usize].on_answer(answer, now, &mut self.rng);
         let Some((update, revision)) = read else {
             return;
         };
-        self.apply(kind, update, revision, sent, Source::Store, now);
+        self.apply(kind, update, revision, as_of, Source::Store, now);
     }
 
     /// Does what has become due.
@@ -393,3 +396,13 @@
         }
     }
 }
+
+/// Returns a time at which the store surely had nothing newer than the answer
+/// to a call that was sent at `sent`.
+fn as_of(call: &StoreCall, answer: &StoreAnswer, sent: Time, now: Time) -> Time {
+    match answer {
+        // The store waits that long before it says that nothing has changed.
+        StoreAnswer::Changes { changes, .. } if changes.is_empty() => now.min(sent + call.wait()),
+        _ => sent,
+    }
+}
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -69,6 +69,8 @@
     pub address: SocketAddrV4,
     /// Whether it is about to stop.
     pub is_stopping: bool,
+    /// Whether the store answered its last calls.
+    pub has_store: bool,
     /// What it knows, by the order of [`Kind::ALL`].
     pub beliefs: [Belief; Kind::ALL.len()],
     /// How long ago the store was last in trouble, as seen by the sender.
--- a/src/core/steering/reading.rs
+++ b/src/core/steering/reading.rs
@@ -20,7 +20,18 @@
 
 /// How long the store may hold a watch. A watch on a connection that went
 /// silent is noticed this long after it began, at the latest.
-const WATCH_TIME: Millis = Millis(1_000);
+const WATCH_TIME: Millis = Millis(1_500);
+
+/// The same for the data centres that are out, which are waited for longer.
+const EVACUATION_WATCH_TIME: Millis = Millis(2_500);
+
+/// How long the store may hold a watch of a kind.
+pub fn watch_time(kind: Kind) -> Millis {
+    match kind {
+        Kind::Configuration | Kind::BackendServers => WATCH_TIME,
+        Kind::Evacuations => EVACUATION_WATCH_TIME,
+    }
+}
 
 /// The pause after the first failure; it doubles with each further one.
 const FIRST_PAUSE: Millis = Millis(100);
@@ -121,7 +132,7 @@
             State::Watching => StoreCall::Watch {
                 kind: self.kind,
                 since: known,
-                wait: WATCH_TIME,
+                wait: watch_time(self.kind),
             },
         }
     }
