Probe the backend servers beside two dead ones

Now two dead in a data centre count as evidence against the others there, beside a probe that fails.

--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -127,6 +127,9 @@
     },
 }
 
+/// Dead backend servers in one data centre that make the others there suspect.
+const DEAD_TOGETHER: usize = 2;
+
 /// How long a VM must be unable to place flows before it says so.
 const UNREADY_AFTER: Millis = Millis(300);
 
@@ -326,9 +329,32 @@
             evidence,
             flows,
         });
+        self.suspect_beside(tag, now);
         self.peers.hurry(now);
     }
 
+    /// Several dead backend servers in one data centre may mean that it lost
+    /// power or is cut off. The others there are probed before clients run into
+    /// them.
+    fn suspect_beside(&mut self, tag: Tag, now: Time) {
+        let Some(place) = self.directory.entry(tag).map(|e| &e.server.data_centre) else {
+            return;
+        };
+        let beside = |e: &directory::Entry| e.server.data_centre == *place && e.may_live();
+        let (dead, others): (Vec<Tag>, Vec<Tag>) = self
+            .directory
+            .iter()
+            .filter(|(_, e)| beside(e))
+            .map(|(tag, _)| tag)
+            .partition(|tag| self.suspicion.standing(*tag) == Standing::Dead);
+        if dead.len() < DEAD_TOGETHER {
+            return;
+        }
+        for other in others {
+            self.suspicion.suspect_beside(other, now);
+        }
+    }
+
     /// Tells the clients of a backend server that their flows are over. Returns
     /// the number of flows.
     fn reset_flows(&mut self, tag: Tag, reason: ResetReason, now: Time) -> usize {
@@ -377,7 +403,7 @@
         self.directory
             .iter()
             .filter(|(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
-            .filter(|(tag, _)| self.suspicion.standing(*tag) != Standing::Dead)
+            .filter(|(tag, _)| self.suspicion.standing(*tag) < Standing::Unreachable)
             .count()
     }
 
--- a/src/core/steering/placing.rs
+++ b/src/core/steering/placing.rs
@@ -126,7 +126,7 @@
             Standing::Trusted => fitness,
             // Better than a cold start, which bears a limited number of flows.
             Standing::Suspected => fitness.max(Fitness::Missing),
-            Standing::Dead => Fitness::Unfit,
+            Standing::Unreachable | Standing::Dead => Fitness::Unfit,
         }
     }
 
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -56,6 +56,8 @@
     Trusted,
     /// It may be dead.
     Suspected,
+    /// It does not accept connections, but no client of this VM waits in vain.
+    Unreachable,
     /// It is dead.
     Dead,
 }
@@ -70,6 +72,8 @@
     probe: Probe,
     /// Whether another VM says that the backend server is dead.
     reported: bool,
+    /// Whether backend servers beside it are dead.
+    beside_dead: bool,
     dead: bool,
 }
 
@@ -111,6 +115,7 @@
         match self.cases.get(&tag) {
             None => Standing::Trusted,
             Some(case) if case.dead => Standing::Dead,
+            Some(case) if case.is_unreachable() => Standing::Unreachable,
             Some(case) if case.is_suspect() => Standing::Suspected,
             Some(_) => Standing::Trusted,
         }
@@ -150,6 +155,13 @@
         case.reported = true;
     }
 
+    /// Notes that several backend servers beside this one are dead.
+    pub fn suspect_beside(&mut self, tag: Tag, now: Time) {
+        let case = self.cases.entry(tag).or_default();
+        case.last_evidence = now;
+        case.beside_dead = true;
+    }
+
     /// Notes what a probe found. Returns whether this shows that the backend
     /// server is dead.
     pub fn probed(&mut self, tag: Tag, outcome: ProbeOutcome, now: Time) -> bool {
@@ -178,8 +190,9 @@
 
     /// Drops evidence that was not renewed.
     pub fn sweep(&mut self, now: Time) {
-        self.cases
-            .retain(|_, case| case.dead || now.since(case.last_evidence) < EVIDENCE_TIME);
+        self.cases.retain(|_, case| {
+            case.is_unreachable() || now.since(case.last_evidence) < EVIDENCE_TIME
+        });
     }
 }
 
@@ -224,13 +237,19 @@
         self.reported || self.is_silent()
     }
 
+    fn is_unreachable(&self) -> bool {
+        let failed = [ProbeOutcome::Refused, ProbeOutcome::TimedOut];
+        matches!(self.probe, Probe::Answered { outcome, .. } if failed.contains(&outcome))
+    }
+
     /// Tells whether clients of this VM wait in vain.
     fn is_silent(&self) -> bool {
         self.silent.len() >= ENOUGH_FLOWS || self.strong() > 0
     }
 
     fn wants_probe(&self, now: Time) -> bool {
-        if !self.is_suspect() && !self.dead {
+        let has_reason = self.is_suspect() || self.beside_dead || self.is_unreachable();
+        if !has_reason {
             return false;
         }
         match self.probe {
@@ -249,11 +268,11 @@
             Probe::Answered {
                 outcome: ProbeOutcome::Refused,
                 ..
-            } => true,
+            } => self.beside_dead || self.reported || !self.silent.is_empty(),
             Probe::Answered {
                 outcome: ProbeOutcome::TimedOut,
                 ..
-            } => self.is_silent() || (self.reported && !self.silent.is_empty()),
+            } => self.beside_dead || self.is_silent() || (self.reported && !self.silent.is_empty()),
             _ => false,
         };
         self.dead
