Test steering under virtual time, tell VMs of each other

Cause, found by the new tests: VMs that were not among the seeds never heard of each other unless one lacked knowledge, and a VM that had been looked for at long intervals was lost once a second after it was found. Two VMs then both held themselves for the one that warms a backend server (6 flows in a second instead of 5). Heartbeats now name four others, and hearing a VM brings its next heartbeat forward.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -146,7 +146,7 @@
     }
 
     /// Returns what this VM tells the others.
-    pub fn heartbeat(&self, now: Time) -> Heartbeat {
+    pub fn heartbeat(&mut self, now: Time) -> Heartbeat {
         let load = |(tag, load): (_, super::flows::Load)| TagLoad {
             tag,
             flows: load.flows,
@@ -163,6 +163,7 @@
             trouble_age: self.beliefs.trouble().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
             dead: self.suspicion.dead().collect(),
+            contacts: self.peers.some_addresses(now, &mut self.rng),
         }
     }
 
@@ -171,6 +172,9 @@
         if let Some(age) = heartbeat.trouble_age {
             self.beliefs.note_trouble(now - age);
         }
+        for address in &heartbeat.contacts {
+            self.peers.add_contact(*address, now);
+        }
         for tag in &heartbeat.dead {
             self.suspicion.report(*tag, now);
         }
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -4,6 +4,10 @@
 use std::net::SocketAddrV4;
 
 use hashbrown::HashMap;
+use rand::{
+    rngs::SmallRng,
+    seq::IteratorRandom, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -42,6 +46,9 @@
 /// A VM that was not heard for this long is no longer looked for.
 const FORGET_AFTER: Millis = Millis::from_secs(300);
 
+/// The addresses that a heartbeat names.
+const CONTACTS_TOLD: usize = 4;
+
 /// The most addresses that are tried.
 const MAX_CONTACTS: usize = 1_024;
 
@@ -79,6 +86,8 @@
     pub loads: Vec<TagLoad>,
     /// The backend servers that it holds for dead.
     pub dead: Vec<Tag>,
+    /// Some of the VMs that it hears.
+    pub contacts: Vec<SocketAddrV4>,
 }
 
 /// What flows ask of one backend server.
@@ -173,6 +182,15 @@
         self.live(now).map(|m| m.heartbeat.address).collect()
     }
 
+    /// Some addresses of VMs that were heard of late, others each time.
+    pub fn some_addresses(&self, now: Time, rng: &mut SmallRng) -> Vec<SocketAddrV4> {
+        let live = self.live(now).map(|m| m.heartbeat.address);
+        let mut some = vec![self.me; CONTACTS_TOLD];
+        let found = live.choose_multiple_fill(rng, &mut some);
+        some.truncate(found);
+        some
+    }
+
     /// The VMs that were heard of late.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Member> {
         self.members
@@ -189,6 +207,8 @@
         self.add_contact(address, now);
         if let Some(contact) = self.contacts.get_mut(&address) {
             contact.heard = now;
+            // It may have been looked for at longer intervals before.
+            contact.next = contact.next.min(now + HEARTBEAT_INTERVAL);
         }
         let member = Member {
             heartbeat,
--- a/src/edge/steering/peers.rs
+++ b/src/edge/steering/peers.rs
@@ -80,7 +80,7 @@
 
 /// Sends a heartbeat.
 pub fn send_heartbeat<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, to: SocketAddrV4) {
-    let heartbeat = node.steering.borrow().heartbeat(node.clock.now());
+    let heartbeat = node.steering.borrow_mut().heartbeat(node.clock.now());
     let datagram = match postcard::to_allocvec(&heartbeat) {
         Ok(datagram) => datagram,
         Err(e) => {
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod process;
 pub mod sample;
 pub mod slots;
+pub mod steering;
 
 pub use backend::FakeBackend;
 pub use fleet::Fleet;
--- /dev/null
+++ b/tests/platform_objects.rs
@@ -0,0 +1,257 @@
+//! The adapter reads the objects of the platform's store, also bad ones.
+
+use dragonflytrack::{
+    core::steering::{
+        store::{
+            BackendServer,
+            Configuration,
+            Kind,
+            Object,
+            Revision,
+            StoreAnswer,
+            StoreCall,
+            Value, //
+        },
+        tag::BackendKey,
+    },
+    edge::steering::format::PlatformFormat,
+    kernel::clock::Millis,
+    platform::UsersPlatform,
+};
+use proptest::prelude::*;
+use serde_json::{
+    Value as Json,
+    json, //
+};
+
+fn list(kind: Kind) -> StoreCall {
+    StoreCall::List { kind, after: None }
+}
+
+fn watch(kind: Kind) -> StoreCall {
+    StoreCall::Watch {
+        kind,
+        since: Revision(530),
+        wait: Millis(1_500),
+    }
+}
+
+fn read(call: &StoreCall, status: u16, body: &Json) -> StoreAnswer {
+    UsersPlatform.read_answer(call, status, body.to_string().as_bytes())
+}
+
+fn item(name: &str, spec: Json) -> Json {
+    json!({
+        "meta": {"name": name, "revision": 41, "created": 9, "finalizers": [], "deleting": false},
+        "spec": spec,
+        "status": null,
+    })
+}
+
+fn server() -> Json {
+    json!({
+        "service": "huvo11a", "address": "10.128.0.9:8080", "zone": "caerdydd", "version": "v1",
+        "concurrency": 4, "state": "ready", "warmupLeftMs": 700, "sequence": 4, "born": 1_790_000_000_123_u64,
+    })
+}
+
+fn page(kind: Kind, items: &[Json]) -> Vec<Object> {
+    let body = json!({"items": items, "more": false, "storeRevision": 530});
+    match read(&list(kind), 200, &body) {
+        StoreAnswer::Page { objects, .. } => objects,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn backend(spec: Json) -> Option<BackendServer> {
+    let objects = page(Kind::BackendServers, &[item("i-7f3a91c2", spec)]);
+    match objects[0].value.clone() {
+        Some(Value::BackendServer(server)) => Some(server),
+        None => None,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn configuration(spec: Json) -> Option<Configuration> {
+    let objects = page(Kind::Configuration, &[item("main", spec)]);
+    match objects[0].value.clone() {
+        Some(Value::Configuration(cfg)) => Some(cfg),
+        None => None,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn example() -> Json {
+    json!({
+        "version": 7,
+        "routes": [
+            {"name": "r-a", "host": "198.18.0.1", "pathPrefix": "/8443/", "type": "safe", "timeoutMs": 4000,
+             "targetLatencyMs": 250, "priority": 2, "maxAttempts": 2,
+             "trafficSplit": [{"service": "huvo11a", "weight": 90}, {"service": "wuno96b", "weight": 10}]},
+            {"name": "r-b", "host": "198.18.0.2", "pathPrefix": "/80/", "type": "unsafe", "timeoutMs": 4000,
+             "targetLatencyMs": 250, "priority": 2, "maxAttempts": 2, "service": "wuno96b"},
+        ],
+        "services": [{"name": "huvo11a", "healthPath": "/health", "maxFlows": 2000, "protocol": "h1",
+                      "tls": false, "warmupS": 2.0, "warmupPerS": 0.5}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    })
+}
+
+#[test]
+fn paths_are_those_of_the_pages() {
+    let servers = list(Kind::BackendServers);
+    assert_eq!(UsersPlatform.store_path(&servers), "/api/objects/servers");
+    let next = StoreCall::List {
+        kind: Kind::BackendServers,
+        after: Some("i-7f/&".to_owned()),
+    };
+    assert_eq!(
+        UsersPlatform.store_path(&next),
+        "/api/objects/servers?after=i%2D7f%2F%26"
+    );
+    let config = watch(Kind::Configuration);
+    assert_eq!(
+        UsersPlatform.store_path(&config),
+        "/api/objects/config?watch=530&waitMs=1500"
+    );
+}
+
+#[test]
+fn a_backend_server_is_read() {
+    let server = backend(server()).expect("a backend server");
+    assert_eq!(server.key, BackendKey(0x7f3a_91c2));
+    assert_eq!(server.service.as_str(), "huvo11a");
+    assert_eq!(server.data_centre.as_str(), "caerdydd");
+    assert_eq!((server.slots, server.draining), (4, false));
+    assert_eq!(server.cold_for, Millis(700));
+    assert_eq!(server.started, 1_790_000_000_123);
+}
+
+#[test]
+fn a_backend_server_with_a_missing_or_odd_field_is_none() {
+    let fields = [
+        "service",
+        "address",
+        "zone",
+        "concurrency",
+        "state",
+        "warmupLeftMs",
+    ];
+    for field in fields {
+        let mut missing = server();
+        missing.as_object_mut().expect("an object").remove(field);
+        assert_eq!(backend(missing), None, "{field} is missing");
+        let mut odd = server();
+        odd[field] = json!({"odd": true});
+        assert_eq!(backend(odd), None, "{field} is odd");
+    }
+    let mut state = server();
+    state["state"] = json!("asleep");
+    assert_eq!(backend(state), None);
+}
+
+#[test]
+fn a_bad_object_takes_nothing_from_the_others() {
+    let items = [
+        item("i-01", json!("not an object")),
+        json!({"no": "meta"}),
+        item("no digits!", server()),
+        item("i-02", server()),
+    ];
+    let objects = page(Kind::BackendServers, &items);
+    let usable: Vec<&str> = objects
+        .iter()
+        .filter(|o| o.value.is_some())
+        .map(|o| o.name.as_str())
+        .collect();
+    assert_eq!(usable, ["i-02"]);
+}
+
+#[test]
+fn bytes_that_are_no_text_spoil_one_object_only() {
+    let body = json!({"items": [item("i-01", json!("XX")), item("i-02", server())],
+        "more": false, "storeRevision": 530});
+    let mut bytes = body.to_string().into_bytes();
+    let at = bytes.windows(2).position(|w| w == b"XX").expect("a marker");
+    bytes[at] = 0xff;
+    let answer = UsersPlatform.read_answer(&list(Kind::BackendServers), 200, &bytes);
+    let StoreAnswer::Page { objects, .. } = answer else {
+        panic!("{answer:?}");
+    };
+    assert!(objects[0].value.is_none() && objects[1].value.is_some());
+}
+
+#[test]
+fn a_configuration_is_read() {
+    let cfg = configuration(example()).expect("a configuration");
+    assert_eq!(cfg.version, 7);
+    assert_eq!(cfg.idle_timeout, Millis(15_000));
+    assert_eq!(
+        cfg.routes[0].address,
+        "198.18.0.1:8443".parse().expect("an address")
+    );
+    let weights: Vec<u32> = cfg.routes[0].shares.iter().map(|s| s.weight).collect();
+    assert_eq!(weights[0], 9 * weights[1]);
+    assert_eq!(cfg.routes[1].shares[0].service.as_str(), "wuno96b");
+    assert_eq!(cfg.services[0].cold_start, Millis(2_000));
+    assert!((cfg.services[0].cold_flows_per_second - 0.5).abs() < f64::EPSILON);
+}
+
+#[test]
+fn only_the_object_main_is_the_configuration() {
+    assert!(page(Kind::Configuration, &[item("other", example())]).is_empty());
+}
+
+#[test]
+fn changes_are_read_with_their_removal() {
+    let body = json!({"storeRevision": 533, "events": [
+        {"deleted": true, "object": item("bud-a", json!({}))},
+        {"deleted": false, "object": item("bud-b", json!({}))},
+    ]});
+    let answer = read(&watch(Kind::Evacuations), 200, &body);
+    let StoreAnswer::Changes { changes, revision } = answer else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(revision, Revision(533));
+    assert!(changes[0].removed && !changes[1].removed);
+    assert!(
+        matches!(&changes[1].object.value, Some(Value::Evacuation(p)) if p.as_str() == "bud-b")
+    );
+}
+
+#[test]
+fn each_status_has_its_meaning() {
+    let call = watch(Kind::Configuration);
+    let body = json!({});
+    assert_eq!(read(&call, 410, &body), StoreAnswer::HistoryGone);
+    assert_eq!(read(&call, 429, &body), StoreAnswer::Busy);
+    assert_eq!(read(&call, 503, &body), StoreAnswer::Busy);
+    assert_eq!(read(&call, 500, &body), StoreAnswer::NoAnswer);
+    assert_eq!(read(&call, 200, &body), StoreAnswer::NoAnswer);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_body_is_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        for kind in Kind::ALL {
+            for call in [list(kind), watch(kind)] {
+                let _ = UsersPlatform.read_answer(&call, 200, &bytes);
+            }
+        }
+    }
+
+    #[test]
+    fn any_change_of_one_byte_is_survived(at in 0..2_000_usize, byte in any::<u8>()) {
+        let body = json!({"items": [item("main", example())], "more": false, "storeRevision": 530});
+        let mut bytes = body.to_string().into_bytes();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        let _ = UsersPlatform.read_answer(&list(Kind::Configuration), 200, &bytes);
+    }
+}
