--- a/src/core/steering/directory.rs
+++ b/src/core/steering/directory.rs
@@ -110,6 +110,30 @@
     out: HashMap<DataCentreId, Revision>,
     returned: HashMap<DataCentreId, Time>,
     ended: Vec<Ended>,
+    /// Removals up to this version may be forgotten.
+    forgotten: Revision,
+}
+
+/// What another VM is told of one kind.
+#[derive(Debug, Default)]
+pub struct Exported {
+    /// Whether these are all objects.
+    pub is_whole: bool,
+    /// The objects that there are.
+    pub objects: Vec<Object>,
+    /// Objects that were removed.
+    pub removed: Vec<Object>,
+}
+
+impl Exported {
+    /// All objects of a kind.
+    pub fn whole(objects: Vec<Object>) -> Exported {
+        Exported {
+            is_whole: true,
+            objects,
+            removed: Vec::new(),
+        }
+    }
 }
 
 impl Directory {
@@ -169,7 +193,7 @@
             .map(|(tag, _)| *tag)
             .collect();
         for tag in left {
-            self.miss(tag, gone_at, now);
+            self.miss(tag, revision, gone_at, now);
         }
     }
 
@@ -187,7 +211,7 @@
             .get(&tag)
             .is_some_and(|e| e.revision > change.object.revision);
         if !is_newer {
-            self.miss(tag, gone_at, now);
+            self.miss(tag, change.object.revision, gone_at, now);
         }
     }
 
@@ -267,10 +291,11 @@
         }
     }
 
-    fn miss(&mut self, tag: Tag, gone_at: Time, now: Time) {
+    fn miss(&mut self, tag: Tag, revision: Revision, gone_at: Time, now: Time) {
         let Some(entry) = self.entries.get_mut(&tag) else {
             return;
         };
+        entry.revision = entry.revision.max(revision);
         if entry.presence != Presence::Listed {
             return;
         }
@@ -348,19 +373,32 @@
         let Some(entry) = self.entries.remove(&tag) else {
             return;
         };
+        self.forgotten = self.forgotten.max(entry.revision);
         self.tags.remove(&entry.name);
         if let Some(pool) = self.pools.get_mut(&entry.server.service) {
             pool.retain(|t| *t != tag);
         }
     }
 
-    /// Returns the backend servers as objects, for another VM.
-    pub fn export(&self, now: Time) -> Vec<Object> {
-        let listed = self
-            .entries
-            .values()
-            .filter(|e| e.presence == Presence::Listed);
-        listed.map(|e| e.export(now)).collect()
+    /// Returns the backend servers that changed since a version, for another VM;
+    /// all of them if the changes are no longer known.
+    pub fn export(&self, since: Revision, now: Time) -> Exported {
+        let is_whole = since < self.forgotten || since == Revision(0);
+        let mut exported = Exported {
+            is_whole,
+            ..Exported::default()
+        };
+        for entry in self.entries.values() {
+            let is_listed = entry.presence == Presence::Listed;
+            if !is_whole && entry.revision <= since {
+                continue;
+            }
+            match is_listed {
+                true => exported.objects.push(entry.export(now)),
+                false => exported.removed.push(entry.export(now)),
+            }
+        }
+        exported
     }
 
     /// Returns the data centres that are out as objects, for another VM.
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -1,5 +1,10 @@
 //! What VMs learn from the store and from each other.
 
+use std::{
+    cmp::Reverse,
+    net::SocketAddrV4, //
+};
+
 use super::{
     Action,
     Steering,
@@ -7,13 +12,15 @@
         Decision,
         Source, //
     },
+    directory::Exported,
     peers::{
         Belief,
         Heartbeat,
         Snapshot,
         SnapshotPart,
         SnapshotRequest,
-        TagLoad, //
+        TagLoad,
+        Want, //
     },
     reading::{
         Reader,
@@ -48,8 +55,9 @@
 /// Taken off the age that another VM tells, for the time on the way.
 const TRANSIT: Millis = Millis(20);
 
-/// The most addresses that a snapshot names.
-const MAX_CONTACTS_TOLD: usize = 128;
+/// A kind that was asked for is not asked for again sooner, unless the answer
+/// has come.
+const PULL_INTERVAL: Millis = Millis(300);
 
 impl Steering {
     /// Tells whether this VM reads a kind from the store: the first of the VMs
@@ -67,13 +75,14 @@
     }
 
     /// The number of live VMs that come before this one. Those that the store
-    /// does not answer come last.
+    /// does not answer come last, and the weak after the strong.
     fn rank(&self, now: Time) -> usize {
-        let mine = (self.is_stopping, !self.has_store(), &self.me.vm);
+        let strength = Reverse(self.me.strength);
+        let mine = (self.is_stopping, !self.has_store(), strength, &self.me.vm);
         self.peers
             .live(now)
             .map(|m| &m.heartbeat)
-            .filter(|h| (h.is_stopping, !h.has_store, &h.vm) < mine)
+            .filter(|h| (h.is_stopping, !h.has_store, Reverse(h.strength), &h.vm) < mine)
             .count()
     }
 
@@ -145,8 +154,8 @@
         }
     }
 
-    /// Returns what this VM tells the others.
-    pub fn heartbeat(&mut self, now: Time) -> Heartbeat {
+    /// Returns what this VM tells the one at `to`.
+    pub fn heartbeat(&mut self, to: SocketAddrV4, now: Time) -> Heartbeat {
         let load = |(tag, load): (_, super::flows::Load)| TagLoad {
             tag,
             flows: load.flows,
@@ -157,13 +166,15 @@
             incarnation: self.me.incarnation,
             data_centre: self.me.data_centre.clone(),
             address: self.me.address,
+            strength: self.me.strength,
+            wants_reply: self.peers.wants(to),
             is_stopping: self.is_stopping,
             has_store: self.has_store(),
             beliefs: self.beliefs.export(now),
             trouble_age: self.beliefs.trouble().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
             dead: self.suspicion.dead().collect(),
-            contacts: self.peers.some_addresses(now, &mut self.rng),
+            contacts: self.peers.some_contacts(now, &mut self.rng),
         }
     }
 
@@ -172,8 +183,8 @@
         if let Some(age) = heartbeat.trouble_age {
             self.beliefs.note_trouble(now - age);
         }
-        for address in &heartbeat.contacts {
-            self.peers.add_contact(*address, now);
+        for contact in &heartbeat.contacts {
+            self.peers.add_contact(contact, now);
         }
         for tag in &heartbeat.dead {
             self.suspicion.report(*tag, now);
@@ -187,12 +198,30 @@
         }
         let before = before.map_or(Vec::new(), |h| h.loads);
         self.remote.replace(&before, &loads);
-        if !wanted.is_empty() {
-            let kinds = wanted;
-            self.actions.push(Action::Pull { from, kinds });
+        let wants = self.take_wants(&wanted, now);
+        if !wants.is_empty() {
+            self.actions.push(Action::Pull { from, wants });
         }
     }
 
+    /// Returns what to ask for of the kinds that another VM knows more of. What
+    /// was just asked for is left out.
+    fn take_wants(&mut self, kinds: &[Kind], now: Time) -> Vec<Want> {
+        let mut wants = Vec::new();
+        for kind in kinds {
+            let pulled = &mut self.pulled[*kind as usize];
+            if pulled.is_some_and(|at| now.since(at) < PULL_INTERVAL) {
+                continue;
+            }
+            *pulled = Some(now);
+            wants.push(Want {
+                kind: *kind,
+                since: self.beliefs.get(*kind).revision,
+            });
+        }
+        wants
+    }
+
     /// Compares what another VM knows with what this one does. Returns the
     /// kinds of which the other one knows more.
     fn compare(&mut self, theirs: &[Belief], now: Time) -> Vec<Kind> {
@@ -214,50 +243,69 @@
 
     /// Returns what another VM asked for.
     pub fn snapshot(&self, request: &SnapshotRequest, now: Time) -> Snapshot {
-        let known = request.kinds.iter().filter(|k| self.beliefs.knows(**k));
-        let mut contacts = self.peers.addresses(now);
-        contacts.truncate(MAX_CONTACTS_TOLD);
+        let known = request.wants.iter().filter(|w| self.beliefs.knows(w.kind));
+        // Whoever knows nothing may know nobody, too.
+        let is_new = request.wants.iter().any(|w| w.since == Revision(0));
+        let contacts = match is_new {
+            true => self.peers.contacts().cloned().collect(),
+            false => Vec::new(),
+        };
         Snapshot {
-            parts: known.map(|kind| self.snapshot_part(*kind, now)).collect(),
+            parts: known.map(|want| self.snapshot_part(want, now)).collect(),
             contacts,
         }
     }
 
-    fn snapshot_part(&self, kind: Kind, now: Time) -> SnapshotPart {
-        let objects = match kind {
-            Kind::Configuration => vec![Object {
+    fn snapshot_part(&self, want: &Want, now: Time) -> SnapshotPart {
+        let exported = match want.kind {
+            Kind::Configuration => Exported::whole(vec![Object {
                 name: String::new(),
                 revision: self.routing.revision(),
                 value: Some(Value::Configuration(self.routing.configuration().clone())),
-            }],
-            Kind::BackendServers => self.directory.export(now),
-            Kind::Evacuations => self.directory.export_evacuations(),
+            }]),
+            Kind::BackendServers => self.directory.export(want.since, now),
+            Kind::Evacuations => Exported::whole(self.directory.export_evacuations()),
         };
         SnapshotPart {
-            kind,
-            belief: self.beliefs.export_kind(kind, now),
-            objects,
+            kind: want.kind,
+            belief: self.beliefs.export_kind(want.kind, now),
+            is_whole: exported.is_whole,
+            objects: exported.objects,
+            removed: exported.removed,
         }
     }
 
     /// Takes in what another VM knows.
     pub fn on_snapshot(&mut self, snapshot: Snapshot, now: Time) {
-        for address in snapshot.contacts {
-            self.peers.add_contact(address, now);
+        for contact in &snapshot.contacts {
+            self.peers.add_contact(contact, now);
         }
         for part in snapshot.parts {
-            let Belief {
-                revision,
-                changed,
-                age,
-            } = part.belief;
-            if revision <= self.beliefs.get(part.kind).revision {
+            self.pulled[part.kind as usize] = None;
+            let (kind, belief) = (part.kind, part.belief);
+            if belief.revision <= self.beliefs.get(kind).revision {
                 continue;
             }
-            let as_of = now - age - TRANSIT;
-            let update = Update::All(part.objects);
-            self.apply(part.kind, update, revision, as_of, Source::Peer, now);
-            self.beliefs.adopt_changed(part.kind, changed);
+            let as_of = now - belief.age - TRANSIT;
+            let update = update_of(part);
+            self.apply(kind, update, belief.revision, as_of, Source::Peer, now);
+            self.beliefs.adopt_changed(kind, belief.changed);
         }
     }
 }
+
+/// Returns what a part of a snapshot changes.
+fn update_of(part: SnapshotPart) -> Update {
+    if part.is_whole {
+        return Update::All(part.objects);
+    }
+    let change = |removed: bool| move |object: Object| Change { object, removed };
+    let gone = part.removed.into_iter().map(change(true));
+    Update::Changes(
+        part.objects
+            .into_iter()
+            .map(change(false))
+            .chain(gone)
+            .collect(),
+    )
+}
--- /dev/null
+++ b/src/core/steering/loads.rs
@@ -0,0 +1,41 @@
+//! What the flows of all VMs together ask of the backend servers.
+
+use hashbrown::HashMap;
+
+use super::{
+    flows::Load,
+    peers::TagLoad,
+    tag::Tag, //
+};
+
+/// What the flows of other VMs ask of the backend servers.
+#[derive(Debug, Default)]
+pub struct RemoteLoads {
+    sums: HashMap<Tag, Load>,
+}
+
+impl RemoteLoads {
+    /// The sum over the other VMs.
+    pub fn load(&self, tag: Tag) -> Load {
+        self.sums.get(&tag).copied().unwrap_or_default()
+    }
+
+    /// Replaces what one VM said by what it says now.
+    pub fn replace(&mut self, before: &[TagLoad], after: &[TagLoad]) {
+        for load in after {
+            let sum = self.sums.entry(load.tag).or_default();
+            sum.flows += load.flows;
+            sum.waiting += load.waiting;
+        }
+        for load in before {
+            let Some(sum) = self.sums.get_mut(&load.tag) else {
+                continue;
+            };
+            sum.flows = sum.flows.saturating_sub(load.flows);
+            sum.waiting = sum.waiting.saturating_sub(load.waiting);
+            if *sum == Load::default() {
+                self.sums.remove(&load.tag);
+            }
+        }
+    }
+}
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -18,6 +18,8 @@
 pub mod decision;
 pub mod directory;
 pub mod flows;
+pub mod loads;
+pub mod members;
 pub mod packet;
 pub mod peers;
 pub mod placing;
@@ -43,15 +45,19 @@
     Fitness, //
 };
 use flows::FlowTable;
+use loads::RemoteLoads;
+use members::{
+    HEARTBEAT_INTERVAL,
+    Members, //
+};
 use packet::{
     Reset,
     ResetReason, //
 };
 use peers::{
-    HEARTBEAT_INTERVAL,
+    Contact,
     Heartbeat,
-    Peers,
-    RemoteLoads, //
+    Want, //
 };
 use reading::{
     Reader,
@@ -99,6 +105,20 @@
     pub data_centre: DataCentreId,
     /// Where it takes messages of other VMs.
     pub address: SocketAddrV4,
+    /// How much it can do for others, in thousandths of a core.
+    pub strength: u32,
+}
+
+impl Identity {
+    /// Where this VM may be found.
+    fn contact(&self) -> Contact {
+        Contact {
+            vm: self.vm.clone(),
+            data_centre: self.data_centre.clone(),
+            address: self.address,
+            strength: self.strength,
+        }
+    }
 }
 
 /// Something to do.
@@ -123,7 +143,7 @@
         /// The VM.
         from: SocketAddrV4,
         /// What is wanted.
-        kinds: Vec<Kind>,
+        wants: Vec<Want>,
     },
 }
 
@@ -177,7 +197,7 @@
     flows: FlowTable,
     suspicion: Suspicion,
     cold: ColdBudget,
-    peers: Peers,
+    peers: Members,
     remote: RemoteLoads,
     beliefs: Beliefs,
     /// Invariant: one for each kind, by the order of [`Kind::ALL`].
@@ -187,6 +207,10 @@
     next_sweep: Time,
     /// Whether this VM can place new flows, and since when not.
     readiness: Readiness,
+    /// When each kind was last asked for at another VM.
+    ///
+    /// Invariant: by the order of [`Kind::ALL`].
+    pulled: [Option<Time>; Kind::ALL.len()],
     /// Invariant: in the order in which they were decided.
     actions: Vec<Action>,
     /// Invariant: in the order in which they were decided.
@@ -197,7 +221,7 @@
     /// Starts without any knowledge.
     pub fn open(me: Identity, seeds: &[SocketAddrV4], rng_seed: u64) -> Steering {
         Steering {
-            peers: Peers::open(me.address, seeds),
+            peers: Members::open(me.contact(), seeds),
             me,
             routing: Routing::default(),
             directory: Directory::default(),
@@ -211,6 +235,7 @@
             is_stopping: false,
             next_sweep: Time::default(),
             readiness: Readiness::default(),
+            pulled: [None; Kind::ALL.len()],
             actions: Vec::new(),
             decisions: Vec::new(),
         }
@@ -306,7 +331,7 @@
                     tag,
                     address: entry.server.address,
                 }),
-                None => self.suspicion.acquit(tag),
+                None => self.suspicion.forget(tag),
             }
         }
     }
@@ -315,7 +340,7 @@
     fn end_flows(&mut self, now: Time) {
         for ended in self.directory.take_ended() {
             let (Ended::Gone(tag) | Ended::Restarted(tag)) = ended;
-            self.suspicion.acquit(tag);
+            self.suspicion.forget(tag);
             let flows = self.reset_flows(tag, ResetReason::BackendGone, now);
             self.decisions.push(Decision::BackendEnded { tag, flows });
         }
--- a/src/core/steering/placing.rs
+++ b/src/core/steering/placing.rs
@@ -24,7 +24,7 @@
         Fitness, //
     },
     flows::FlowTable,
-    peers::RemoteLoads,
+    loads::RemoteLoads,
     suspicion::{
         Standing,
         Suspicion, //
@@ -61,6 +61,8 @@
     pub cold: &'a ColdBudget,
     /// The name of this VM.
     pub me: &'a VmId,
+    /// Whether this VM is among the first of its data centre.
+    pub is_hub: bool,
     /// The names of the other VMs that are heard.
     pub others: &'a [&'a VmId],
     /// The evidence against backend servers.
@@ -131,7 +133,11 @@
     }
 
     /// Tells whether this VM may send a flow to a backend server in cold start.
+    /// Only a VM that hears all that may be first can know.
     fn may_warm(&self, tag: Tag) -> bool {
+        if !self.is_hub {
+            return false;
+        }
         let others = self.others.iter().copied();
         self.cold.has_room(tag, self.now) && cold::is_first(tag, self.me, others)
     }
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -137,6 +137,7 @@
         let place = Place {
             cold: &self.cold,
             me: &self.me.vm,
+            is_hub: self.peers.is_hub(),
             others: &others,
             directory: &self.directory,
             flows: &self.flows,
@@ -194,7 +195,7 @@
     fn note_sign(&mut self, sign: Sign, packet: &Packet, now: Time) {
         match sign {
             Sign::None => {}
-            Sign::Alive(tag) => self.suspicion.acquit(tag),
+            Sign::Alive(tag) => self.suspicion.acquit(tag, now),
             Sign::Silent { tag, repeats } => self.accuse(tag, packet, repeats, now),
         }
     }
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -36,6 +36,10 @@
 /// The time between two probes of a backend server.
 const PROBE_INTERVAL: Millis = Millis::from_secs(1);
 
+/// How long a backend server that accepted a connection is believed against
+/// other VMs.
+const TRUST_TIME: Millis = Millis::from_secs(3);
+
 /// What a probe found.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProbeOutcome {
@@ -134,8 +138,15 @@
             .map(|(tag, _)| *tag)
     }
 
-    /// Notes that a backend server has answered, or is another run.
-    pub fn acquit(&mut self, tag: Tag) {
+    /// Notes that a backend server has answered.
+    pub fn acquit(&mut self, tag: Tag, now: Time) {
+        if let Some(case) = self.cases.get_mut(&tag) {
+            case.acquit(now);
+        }
+    }
+
+    /// Forgets all about a backend server that ended.
+    pub fn forget(&mut self, tag: Tag) {
         self.cases.remove(&tag);
     }
 
@@ -152,7 +163,8 @@
     pub fn report(&mut self, tag: Tag, now: Time) {
         let case = self.cases.entry(tag).or_default();
         case.last_evidence = now;
-        case.reported = true;
+        // The other VM may not have noticed yet.
+        case.reported = !case.was_accepted_of_late(now);
     }
 
     /// Notes that several backend servers beside this one are dead.
@@ -165,14 +177,13 @@
     /// Notes what a probe found. Returns whether this shows that the backend
     /// server is dead.
     pub fn probed(&mut self, tag: Tag, outcome: ProbeOutcome, now: Time) -> bool {
-        if outcome == ProbeOutcome::Accepted {
-            self.acquit(tag);
-            return false;
-        }
         let Some(case) = self.cases.get_mut(&tag) else {
             return false;
         };
         case.probe = Probe::Answered { at: now, outcome };
+        if outcome == ProbeOutcome::Accepted {
+            case.acquit(now);
+        }
         case.decide()
     }
 
@@ -237,6 +248,26 @@
         self.reported || self.is_silent()
     }
 
+    fn acquit(&mut self, now: Time) {
+        *self = Case {
+            probe: Probe::Answered {
+                at: now,
+                outcome: ProbeOutcome::Accepted,
+            },
+            last_evidence: now,
+            ..Case::default()
+        };
+    }
+
+    fn was_accepted_of_late(&self, now: Time) -> bool {
+        match self.probe {
+            Probe::Answered { at, outcome } => {
+                outcome == ProbeOutcome::Accepted && now.since(at) < TRUST_TIME
+            }
+            Probe::NotAsked | Probe::Asked { .. } => false,
+        }
+    }
+
     fn is_unreachable(&self) -> bool {
         let failed = [ProbeOutcome::Refused, ProbeOutcome::TimedOut];
         matches!(self.probe, Probe::Answered { outcome, .. } if failed.contains(&outcome))
--- a/src/edge/steering/node.rs
+++ b/src/edge/steering/node.rs
@@ -84,6 +84,7 @@
             incarnation: Incarnation(clock.wall().0),
             data_centre: settings.data_centre.clone(),
             address: settings.peers,
+            strength: settings.strength,
         };
         let rng_seed = me.vm.hash64() ^ me.incarnation.0;
         let node = Rc::new(Node {
@@ -121,7 +122,7 @@
                 Action::Reset(reset) => packets::send_reset(self, &reset),
                 Action::Heartbeat { to } => peers::send_heartbeat(self, to),
                 Action::Probe { tag, address } => probes::spawn(self, tag, address),
-                Action::Pull { from, kinds } => peers::pull(self, from, kinds),
+                Action::Pull { from, wants } => peers::pull(self, from, wants),
             }
         }
     }
--- a/src/edge/steering/peers.rs
+++ b/src/edge/steering/peers.rs
@@ -31,9 +31,9 @@
     peers::{
         Heartbeat,
         Snapshot,
-        SnapshotRequest, //
-    },
-    store::Kind, //
+        SnapshotRequest,
+        Want, //
+    }, //
 };
 
 /// The largest heartbeat in bytes.
@@ -80,7 +80,7 @@
 
 /// Sends a heartbeat.
 pub fn send_heartbeat<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, to: SocketAddrV4) {
-    let heartbeat = node.steering.borrow_mut().heartbeat(node.clock.now());
+    let heartbeat = node.steering.borrow_mut().heartbeat(to, node.clock.now());
     let datagram = match postcard::to_allocvec(&heartbeat) {
         Ok(datagram) => datagram,
         Err(e) => {
@@ -94,10 +94,10 @@
 }
 
 /// Asks another VM for what it knows.
-pub fn pull<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, from: SocketAddrV4, kinds: Vec<Kind>) {
+pub fn pull<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, from: SocketAddrV4, wants: Vec<Want>) {
     let node = Rc::clone(node);
     actix_rt::spawn(async move {
-        let request = SnapshotRequest { kinds };
+        let request = SnapshotRequest { wants };
         match timeout(PULL_TIMEOUT, fetch(from, &request)).await {
             Ok(Ok(snapshot)) => {
                 let now = node.clock.now();
--- a/src/settings/steering.rs
+++ b/src/settings/steering.rs
@@ -4,6 +4,7 @@
 //! |---|---|---|---|
 //! | `[vm]` | `name` | required | the VM's unique name |
 //! | `[vm]` | `data-centre` | required | the data centre that it stands in |
+//! | `[vm]` | `cores` | 1 | the VM's share of processor cores; the strongest serve the others |
 //! | `[listen]` | `packets` | required | UDP, packets of clients; clients listen on the same port |
 //! | `[listen]` | `ready` | required | TCP, HTTP readiness probe |
 //! | `[listen]` | `peers` | required | TCP and UDP, messages of other VMs |
@@ -41,6 +42,10 @@
 
 const STOP_REMEDY: &str = "seconds between 2 and 3600";
 
+const CORES_REMEDY: &str = "a number above 0 and up to 1024, such as 0.25";
+
+const DEFAULT_STRENGTH: u32 = 1_000;
+
 const DEFAULT_STOP: Millis = Millis::from_secs(6);
 
 /// The settings of an entry VM that steers by tag.
@@ -50,6 +55,8 @@
     pub vm: VmId,
     /// The data centre that it stands in.
     pub data_centre: DataCentreId,
+    /// The VM's processor share, in thousandths of a core.
+    pub strength: u32,
     /// The UDP address for packets of clients.
     pub packets: SocketAddrV4,
     /// The HTTP address of the readiness probe.
@@ -91,6 +98,7 @@
 
 fn read(rx: &mut Reader<'_>) -> Option<SteeringSettings> {
     let vm = vm::read(rx);
+    let strength = rx.optional("vm", "cores", DEFAULT_STRENGTH, CORES_REMEDY, parse_cores);
     let packets = rx.required("listen", "packets", ADDRESS_REMEDY, parse_address);
     let ready = rx.required("listen", "ready", ADDRESS_REMEDY, parse_address);
     let peers = rx.required("listen", "peers", ADDRESS_REMEDY, parse_address);
@@ -102,6 +110,7 @@
     Some(SteeringSettings {
         vm: vm.name,
         data_centre: vm.data_centre,
+        strength,
         packets: packets?,
         ready: ready?,
         peers,
@@ -119,6 +128,11 @@
     text.parse().ok().filter(|a: &SocketAddrV4| a.port() != 0)
 }
 
+fn parse_cores(text: &str) -> Option<u32> {
+    let cores: f64 = text.parse().ok()?;
+    (cores > 0.0 && cores <= 1_024.0).then_some((cores * 1_000.0) as u32)
+}
+
 fn parse_seeds(text: &str) -> Option<Vec<SocketAddrV4>> {
     text.split(',')
         .map(str::trim)
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -30,7 +30,10 @@
                 Role,
                 Verdict, //
             },
-            peers::SnapshotRequest,
+            peers::{
+                SnapshotRequest,
+                Want, //
+            },
             reading::Step,
             store::{
                 BackendServer,
@@ -173,7 +176,7 @@
     Pull {
         from: usize,
         to: usize,
-        kinds: Vec<Kind>,
+        wants: Vec<Want>,
     },
     Probe {
         vm: usize,
@@ -235,6 +238,7 @@
             incarnation: Incarnation(self.now.0),
             data_centre: self.places[at].clone(),
             address: address(at),
+            strength: 250,
         };
         let seeds: Vec<SocketAddrV4> = (0..self.places.len().min(3)).map(address).collect();
         self.machines[at] = Some(Machine {
@@ -344,14 +348,14 @@
                     let to = number(to);
                     self.later(STEP, Delivery::Heartbeat { from: at, to });
                 }
-                Action::Pull { from, kinds } => {
+                Action::Pull { from, wants } => {
                     let from = number(from);
                     self.later(
                         STEP,
                         Delivery::Pull {
                             from,
                             to: at,
-                            kinds,
+                            wants,
                         },
                     );
                 }
@@ -392,12 +396,12 @@
         let now = self.now;
         match delivery {
             Delivery::Heartbeat { from, to } if self.reaches(from, to) => {
-                let heartbeat = self.vm(from).heartbeat(now);
+                let heartbeat = self.vm(from).heartbeat(address(to), now);
                 self.vm(to).on_heartbeat(heartbeat, now);
                 self.act(to);
             }
-            Delivery::Pull { from, to, kinds } if self.reaches(from, to) => {
-                let request = SnapshotRequest { kinds };
+            Delivery::Pull { from, to, wants } if self.reaches(from, to) => {
+                let request = SnapshotRequest { wants };
                 let snapshot = self.vm(from).snapshot(&request, now);
                 self.vm(to).on_snapshot(snapshot, now);
                 self.act(to);
