Accept old lists at a start, resume watches after a failure

Cause: a start of 82 VMs made 492 list calls, each at full price. An old list costs a tenth; the watch that follows it tells what has changed since.

--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -147,6 +147,9 @@
     },
 }
 
+/// How old an answer may be that need not be new.
+const OLD_ANSWER: Millis = Millis::from_secs(10);
+
 /// Dead backend servers in one data centre that make the others there suspect.
 const DEAD_TOGETHER: usize = 2;
 
@@ -454,6 +457,7 @@
     match answer {
         // The store waits that long before it says that nothing has changed.
         StoreAnswer::Changes { changes, .. } if changes.is_empty() => now.min(sent + call.wait()),
+        _ if call.may_be_old() => sent - OLD_ANSWER,
         _ => sent,
     }
 }
--- a/src/core/steering/reading.rs
+++ b/src/core/steering/reading.rs
@@ -78,19 +78,34 @@
     Listing {
         after: Option<String>,
         objects: Vec<Object>,
-        /// The version of the first page. Later pages may be newer, so that
-        /// watches begin here.
-        first: Option<Revision>,
+        /// The lowest version of a page. Others may be newer, so that watches
+        /// begin here.
+        lowest: Option<Revision>,
+        /// Whether old pages will do. The watch that follows tells what has
+        /// changed since.
+        may_be_old: bool,
     },
     Watching,
 }
 
 impl State {
-    fn from_start() -> State {
+    /// Tells whether a watch can take the place of this list, if something is
+    /// known already. A list after a gap in the history has to be read.
+    fn may_be_skipped(&self) -> bool {
+        match self {
+            State::Listing {
+                after, may_be_old, ..
+            } => after.is_none() && *may_be_old,
+            State::Watching => true,
+        }
+    }
+
+    fn from_start(may_be_old: bool) -> State {
         State::Listing {
             after: None,
             objects: Vec::new(),
-            first: None,
+            lowest: None,
+            may_be_old,
         }
     }
 }
@@ -100,7 +115,7 @@
     pub fn open(kind: Kind) -> Reader {
         Reader {
             kind,
-            state: State::from_start(),
+            state: State::from_start(true),
             failures: 0,
             pause_until: Time::default(),
             is_answered: true,
@@ -120,14 +135,16 @@
     }
 
     fn call(&mut self, known: Revision) -> StoreCall {
-        let is_begun = matches!(&self.state, State::Listing { after: Some(_), .. });
-        if known > Revision(0) && !is_begun && self.failures == 0 {
+        if known > Revision(0) && self.state.may_be_skipped() {
             self.state = State::Watching;
         }
         match &self.state {
-            State::Listing { after, .. } => StoreCall::List {
+            State::Listing {
+                after, may_be_old, ..
+            } => StoreCall::List {
                 kind: self.kind,
                 after: after.clone(),
+                may_be_old: *may_be_old,
             },
             State::Watching => StoreCall::Watch {
                 kind: self.kind,
@@ -165,9 +182,8 @@
                 Some((Update::Changes(changes), revision))
             }
             StoreAnswer::HistoryGone => {
-                self.state = State::from_start();
-                // Counts as a failure, so that the next call is a list.
-                self.failures = self.failures.max(1);
+                // An old list would end in the same gap.
+                self.state = State::from_start(false);
                 None
             }
             StoreAnswer::Busy | StoreAnswer::NoAnswer => {
@@ -186,12 +202,14 @@
         let State::Listing {
             after,
             objects,
-            first,
+            lowest,
+            ..
         } = &mut self.state
         else {
             return None;
         };
-        let revision = *first.get_or_insert(revision);
+        let revision = lowest.map_or(revision, |l| l.min(revision));
+        *lowest = Some(revision);
         let last = page.last().map(|o| o.name.clone());
         objects.extend(page);
         if more && last.is_some() {
@@ -203,10 +221,12 @@
         Some((Update::All(all), revision))
     }
 
-    /// Starts over with a list, after a pause that grows and is spread so that
-    /// the VMs do not call together.
+    /// Tries again after a pause that grows and is spread so that the VMs do not
+    /// call together.
     fn on_failure(&mut self, now: Time, rng: &mut SmallRng) {
-        self.state = State::from_start();
+        if let State::Listing { may_be_old, .. } = self.state {
+            self.state = State::from_start(may_be_old);
+        }
         let doubled = FIRST_PAUSE.0 << self.failures.min(4);
         let pause = doubled.min(LONGEST_PAUSE.0);
         self.failures += 1;
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -162,6 +162,9 @@
         kind: Kind,
         /// Begins behind this name.
         after: Option<String>,
+        /// Whether an answer that is some seconds old will do. It burdens the
+        /// store less.
+        may_be_old: bool,
     },
     /// Waits for changes of a kind.
     Watch {
@@ -182,6 +185,17 @@
         }
     }
 
+    /// Whether the answer may be some seconds old.
+    pub fn may_be_old(&self) -> bool {
+        matches!(
+            self,
+            StoreCall::List {
+                may_be_old: true,
+                ..
+            }
+        )
+    }
+
     /// How long the store may hold the answer back on purpose.
     pub fn wait(&self) -> Millis {
         match self {
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -122,7 +122,7 @@
     fn answer(&self, call: &StoreCall) -> Option<StoreAnswer> {
         let revision = Revision(self.revision);
         match call {
-            StoreCall::List { kind, after } => Some(self.page(*kind, after.as_deref())),
+            StoreCall::List { kind, after, .. } => Some(self.page(*kind, after.as_deref())),
             StoreCall::Watch { since, .. } if since.0 < self.forgotten => {
                 Some(StoreAnswer::HistoryGone)
             }
--- a/tests/platform_objects.rs
+++ b/tests/platform_objects.rs
@@ -25,7 +25,11 @@
 };
 
 fn list(kind: Kind) -> StoreCall {
-    StoreCall::List { kind, after: None }
+    StoreCall::List {
+        kind,
+        after: None,
+        may_be_old: false,
+    }
 }
 
 fn watch(kind: Kind) -> StoreCall {
@@ -104,10 +108,11 @@
     let next = StoreCall::List {
         kind: Kind::BackendServers,
         after: Some("i-7f/&".to_owned()),
+        may_be_old: true,
     };
     assert_eq!(
         UsersPlatform.store_path(&next),
-        "/api/objects/servers?after=i%2D7f%2F%26"
+        "/api/objects/servers?allowStale=1&after=i%2D7f%2F%26"
     );
     let config = watch(Kind::Configuration);
     assert_eq!(
