--- a/src/command/steer.rs
+++ b/src/command/steer.rs
@@ -26,6 +26,7 @@
     edge::{
         log::{
             self,
+            LossyLog,
             note, //
         },
         steering::Node,
@@ -65,11 +66,14 @@
             return EXIT_USAGE;
         }
     };
-    if let Err(e) = log::install(&settings.log) {
-        eprintln!("cannot log: {e}");
-        return EXIT_FAILED;
-    }
-    match actix_rt::System::new().block_on(serve(settings)) {
+    let log = match log::install_lossy(&settings.log) {
+        Ok(log) => log,
+        Err(e) => {
+            eprintln!("cannot log: {e}");
+            return EXIT_FAILED;
+        }
+    };
+    match actix_rt::System::new().block_on(serve(settings, &log)) {
         Ok(()) => EXIT_OK,
         Err(e) => {
             eprintln!("cannot serve: {e}");
@@ -78,11 +82,11 @@
     }
 }
 
-async fn serve(settings: SteeringSettings) -> io::Result<()> {
+async fn serve(settings: SteeringSettings, log: &LossyLog) -> io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     note(Notice::Started, settings.vm.as_str());
-    let node = Node::spawn(settings, UsersPlatform).await?;
+    let node = Node::spawn(settings, UsersPlatform, log.lost_lines.clone()).await?;
     loop {
         match select(Box::pin(term.recv()), Box::pin(reload.recv())).await {
             Either::Left(_) => break,
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -36,7 +36,12 @@
     /// Nothing.
     None,
     /// It has answered.
-    Alive(Tag),
+    Alive {
+        /// The backend server.
+        tag: Tag,
+        /// How long the client waited, if the packet shows it.
+        took: Option<Millis>,
+    },
     /// It has not: the client repeats itself.
     Silent {
         /// The backend server.
@@ -64,7 +69,9 @@
     /// The number behind the last byte that the client has sent.
     sent: u32,
     repeats: u8,
-    /// When the data that wait for an answer were last sent on.
+    /// When the data that wait for an answer were first sent on.
+    asked: Time,
+    /// When they were last sent on.
     sent_on: Time,
     opened_at: Time,
     seen: Time,
@@ -115,6 +122,11 @@
         self.load.get(&tag).copied().unwrap_or_default()
     }
 
+    /// The flows whose client waits.
+    pub fn waiting(&self) -> u64 {
+        self.load.values().map(|l| u64::from(l.waiting)).sum()
+    }
+
     /// The backend servers that hold flows of this VM, and what these ask.
     pub fn loads(&self) -> impl Iterator<Item = (Tag, Load)> {
         self.load.iter().map(|(tag, load)| (*tag, *load))
@@ -261,6 +273,7 @@
             copies: copy,
             sent: packet.seq,
             repeats: 0,
+            asked: now,
             sent_on: now,
             opened_at: now,
             seen: now,
@@ -278,6 +291,7 @@
             copies: 0,
             sent: packet.end(),
             repeats: 0,
+            asked: now,
             sent_on: now,
             opened_at: now,
             seen: now,
@@ -290,8 +304,11 @@
         if !self.is_open {
             self.is_open = true;
             self.sent = packet.seq;
+            // The handshake shows how far away the client is, not how fast the
+            // backend server works.
             self.is_waiting = false;
         }
+        let took = self.answer_time(packet, now).filter(|_| has_answer);
         if has_answer {
             self.ack = packet.ack;
             self.repeats = 0;
@@ -299,7 +316,8 @@
         }
         let repeated = self.note_data(packet, now);
         if has_answer {
-            return Sign::Alive(self.tag);
+            let tag = self.tag;
+            return Sign::Alive { tag, took };
         }
         if repeated {
             self.repeats = self.repeats.saturating_add(1);
@@ -311,6 +329,13 @@
         Sign::None
     }
 
+    /// How long the client waited for what it acknowledges. Unknown if it sends
+    /// data as well: the acknowledgement may have waited for them.
+    fn answer_time(&self, packet: &Packet, now: Time) -> Option<Millis> {
+        let is_plain = packet.len == 0 && self.is_waiting;
+        is_plain.then(|| now.since(self.asked))
+    }
+
     /// Returns whether the packet's data were sent on before, so long ago that
     /// an answer is overdue.
     fn note_data(&mut self, packet: &Packet, now: Time) -> bool {
@@ -320,6 +345,9 @@
         let sent_on = std::mem::replace(&mut self.sent_on, now);
         if is_after(packet.end(), self.sent) {
             self.sent = packet.end();
+            if !self.is_waiting {
+                self.asked = now;
+            }
             self.is_waiting = true;
             return false;
         }
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -14,6 +14,7 @@
     rngs::SmallRng, //
 };
 
+pub mod answers;
 pub mod cold;
 pub mod decision;
 pub mod directory;
@@ -33,6 +34,7 @@
 mod exchange;
 mod steer;
 
+use answers::AnswerTimes;
 use beliefs::Beliefs;
 use cold::ColdBudget;
 use decision::{
@@ -191,6 +193,27 @@
     }
 }
 
+/// Figures of one VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Stats {
+    /// Whether it serves new flows.
+    pub is_ready: bool,
+    /// The flows that are recorded.
+    pub flows: usize,
+    /// Those whose client waits.
+    pub waiting: u64,
+    /// The backend servers that take new flows.
+    pub backends: usize,
+    /// The backend servers that are held for dead.
+    pub dead: usize,
+    /// The other VMs that are heard.
+    pub peers: usize,
+    /// The operators' number of the configuration in force.
+    pub version: u64,
+    /// How old the knowledge of each kind is, by the order of [`Kind::ALL`].
+    pub ages: [Option<Millis>; Kind::ALL.len()],
+}
+
 /// Steers the packets of one VM.
 #[derive(Debug)]
 pub struct Steering {
@@ -200,6 +223,7 @@
     flows: FlowTable,
     suspicion: Suspicion,
     cold: ColdBudget,
+    answers: AnswerTimes,
     peers: Members,
     remote: RemoteLoads,
     beliefs: Beliefs,
@@ -218,6 +242,8 @@
     actions: Vec<Action>,
     /// Invariant: in the order in which they were decided.
     decisions: Vec<Decision>,
+    /// How long answers took, for the metrics.
+    samples: Vec<Millis>,
 }
 
 impl Steering {
@@ -231,6 +257,7 @@
             flows: FlowTable::default(),
             suspicion: Suspicion::default(),
             cold: ColdBudget::default(),
+            answers: AnswerTimes::default(),
             remote: RemoteLoads::default(),
             beliefs: Beliefs::default(),
             readers: Kind::ALL.map(Reader::open),
@@ -241,6 +268,7 @@
             pulled: [None; Kind::ALL.len()],
             actions: Vec::new(),
             decisions: Vec::new(),
+            samples: Vec::new(),
         }
     }
 
@@ -303,6 +331,7 @@
             self.flows.sweep(self.idle_timeout(), now);
             self.suspicion.sweep(now);
             self.cold.sweep(now);
+            self.answers.sweep(now);
         }
     }
 
@@ -316,6 +345,25 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Takes how long answers took since the last call.
+    pub fn take_samples(&mut self) -> Vec<Millis> {
+        std::mem::take(&mut self.samples)
+    }
+
+    /// Returns figures for the metrics.
+    pub fn stats(&self, now: Time) -> Stats {
+        Stats {
+            is_ready: self.is_ready(),
+            flows: self.flows.len(),
+            waiting: self.flows.waiting(),
+            backends: self.count_fit(now),
+            dead: self.suspicion.dead().count(),
+            peers: self.peers.live(now).count(),
+            version: self.routing.configuration().version,
+            ages: Kind::ALL.map(|kind| self.beliefs.age(kind, now)),
+        }
+    }
+
     /// Takes in what a probe found.
     pub fn on_probe(&mut self, tag: Tag, outcome: ProbeOutcome, now: Time) {
         let was_dead = self.suspicion.standing(tag) == Standing::Dead;
--- a/src/core/steering/placing.rs
+++ b/src/core/steering/placing.rs
@@ -14,6 +14,7 @@
 use smallvec::SmallVec;
 
 use super::{
+    answers::AnswerTimes,
     cold::{
         self,
         ColdBudget, //
@@ -57,6 +58,8 @@
     pub flows: &'a FlowTable,
     /// The flows of other VMs.
     pub remote: &'a RemoteLoads,
+    /// How fast the backend servers answer.
+    pub answers: &'a AnswerTimes,
     /// The new flows that backend servers in cold start got.
     pub cold: &'a ColdBudget,
     /// The name of this VM.
@@ -105,17 +108,21 @@
 
     fn candidates(&self, service: &ServiceId) -> SmallVec<[Candidate; 32]> {
         let pool = self.directory.pool(service);
-        pool.iter().filter_map(|tag| self.candidate(*tag)).collect()
+        let slowness = self.answers.slowness(pool, self.now);
+        pool.iter()
+            .zip(slowness)
+            .filter_map(|(tag, slowness)| self.candidate(*tag, slowness))
+            .collect()
     }
 
-    fn candidate(&self, tag: Tag) -> Option<Candidate> {
+    fn candidate(&self, tag: Tag, slowness: f64) -> Option<Candidate> {
         let entry = self.directory.entry(tag)?;
         let fitness = self.fitness(tag, entry);
         (fitness < Fitness::Unfit).then(|| Candidate {
             tag,
             fitness,
             is_home: entry.server.data_centre == *self.home,
-            load: self.load(tag, entry),
+            load: self.load(tag, entry) * slowness,
         })
     }
 
@@ -142,13 +149,13 @@
         self.cold.has_room(tag, self.now) && cold::is_first(tag, self.me, others)
     }
 
-    /// Work for each slot.
+    /// Work for each slot, the new flow included.
     fn load(&self, tag: Tag, entry: &Entry) -> f64 {
         let here = self.flows.load(tag);
         let there = self.remote.load(tag);
         let flows = f64::from(here.flows + there.flows);
         let waiting = f64::from(here.waiting + there.waiting);
-        (flows + WAITING_WEIGHT * waiting) / f64::from(entry.server.slots.max(1))
+        (1.0 + flows + WAITING_WEIGHT * waiting) / f64::from(entry.server.slots.max(1))
     }
 
     fn stays_home(&self, candidates: &[Candidate]) -> bool {
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -142,6 +142,7 @@
             directory: &self.directory,
             flows: &self.flows,
             remote: &self.remote,
+            answers: &self.answers,
             suspicion: &self.suspicion,
             home: &self.me.data_centre,
             now,
@@ -195,7 +196,13 @@
     fn note_sign(&mut self, sign: Sign, packet: &Packet, now: Time) {
         match sign {
             Sign::None => {}
-            Sign::Alive(tag) => self.suspicion.acquit(tag, now),
+            Sign::Alive { tag, took } => {
+                self.suspicion.acquit(tag, now);
+                if let Some(took) = took {
+                    self.answers.note(tag, took, now);
+                    self.samples.push(took);
+                }
+            }
             Sign::Silent { tag, repeats } => self.accuse(tag, packet, repeats, now),
         }
     }
--- a/src/edge/log.rs
+++ b/src/edge/log.rs
@@ -2,10 +2,18 @@
 
 use std::io;
 
+use tracing_appender::non_blocking::{
+    ErrorCounter,
+    NonBlockingBuilder,
+    WorkerGuard, //
+};
 use tracing_subscriber::{
     Layer,
     filter::Targets,
-    fmt,
+    fmt::{
+        self,
+        MakeWriter, //
+    },
     layer::SubscriberExt,
     util::{
         SubscriberInitExt,
@@ -24,13 +32,50 @@
     },
 };
 
+/// Lines that may wait to be written.
+const MAX_BUFFERED_LINES: usize = 2_048;
+
 /// Begins to log as the settings say.
 ///
 /// # Errors
 ///
 /// Fails if the process has a log already.
 pub fn install(log: &Log) -> Result<(), TryInitError> {
-    let lines = fmt::layer().with_writer(io::stderr);
+    install_to(log, io::stderr)
+}
+
+/// Writes lines that nobody takes in time nowhere, and counts them. Ends the
+/// writing, with what is left, when it is dropped.
+pub struct LossyLog {
+    /// Counts the lines that were lost.
+    pub lost_lines: ErrorCounter,
+    _writer: WorkerGuard,
+}
+
+/// Begins to log as the settings say, to standard output and without ever
+/// waiting for whoever reads it.
+///
+/// # Errors
+///
+/// Fails if the process has a log already.
+pub fn install_lossy(log: &Log) -> Result<LossyLog, TryInitError> {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(MAX_BUFFERED_LINES)
+        .finish(io::stdout());
+    let lost_lines = writer.error_counter();
+    install_to(log, writer)?;
+    Ok(LossyLog {
+        lost_lines,
+        _writer: guard,
+    })
+}
+
+fn install_to<W>(log: &Log, writer: W) -> Result<(), TryInitError>
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
+    let lines = fmt::layer().with_writer(writer);
     let lines = match log.format {
         Format::Human => lines.with_ansi(false).boxed(),
         Format::Json => lines.json().flatten_event(true).boxed(),
--- /dev/null
+++ b/src/edge/steering/metrics.rs
@@ -0,0 +1,230 @@
+//! The metrics of a VM that steers by tag, in the text exposition format.
+
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        text, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::ConstGauge,
+        histogram::Histogram, //
+    },
+    registry::Registry,
+};
+
+use crate::{
+    core::steering::{
+        Steering,
+        decision::Decision,
+        packet::Verdict,
+        store::{
+            Kind,
+            StoreAnswer, //
+        },
+        suspicion::ProbeOutcome, //
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+
+/// What the names of all metrics begin with.
+const PREFIX: &str = "dragonflytrack_steering";
+
+/// The upper bounds of the answer times in seconds.
+const ANSWER_BUCKETS: [f64; 9] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct EventLabels {
+    event: u16,
+    detail: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CallLabels {
+    kind: String,
+    answer: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct OutcomeLabels {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct KindLabels {
+    kind: String,
+}
+
+/// What the sockets and decisions of this VM count.
+#[derive(Debug)]
+pub struct Metrics {
+    decisions: Family<EventLabels, Counter>,
+    packets: Family<OutcomeLabels, Counter>,
+    calls: Family<CallLabels, Counter>,
+    probes: Family<OutcomeLabels, Counter>,
+    answers: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics {
+            decisions: Family::default(),
+            packets: Family::default(),
+            calls: Family::default(),
+            probes: Family::default(),
+            answers: Histogram::new(ANSWER_BUCKETS),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a decision.
+    pub fn count_decision(&self, decision: &Decision) {
+        let labels = EventLabels {
+            event: decision.notice().number(),
+            detail: detail(decision),
+        };
+        self.decisions.get_or_create(&labels).inc();
+    }
+
+    /// Counts a packet of a client.
+    pub fn count_packet(&self, verdict: &Verdict) {
+        let outcome = match verdict {
+            Verdict::Forward(_) => "forwarded",
+            Verdict::Reset(_) => "reset",
+            Verdict::Drop(_) => "dropped",
+        };
+        self.count(outcome);
+    }
+
+    /// Counts a packet that could not be read or sent.
+    pub fn count(&self, outcome: &'static str) {
+        self.packets.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn count_call(&self, kind: Kind, answer: &StoreAnswer) {
+        let answer = match answer {
+            StoreAnswer::Page { .. } => "page",
+            StoreAnswer::Changes { .. } => "changes",
+            StoreAnswer::HistoryGone => "history_gone",
+            StoreAnswer::Busy => "busy",
+            StoreAnswer::NoAnswer => "none",
+        };
+        let kind = kind.to_string();
+        self.calls.get_or_create(&CallLabels { kind, answer }).inc();
+    }
+
+    /// Counts a probe of a backend server.
+    pub fn count_probe(&self, outcome: ProbeOutcome) {
+        let outcome = match outcome {
+            ProbeOutcome::Accepted => "accepted",
+            ProbeOutcome::Refused => "refused",
+            ProbeOutcome::TimedOut => "timed_out",
+            ProbeOutcome::Unclear => "unclear",
+        };
+        self.probes.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Notes how long a backend server took to answer.
+    pub fn note_answer(&self, took: Millis) {
+        self.answers.observe(took.0 as f64 / 1_000.0);
+    }
+
+    /// Writes all metrics.
+    pub fn encode(&self, steering: &Steering, lost_lines: usize, now: Time) -> String {
+        let mut registry = Registry::with_prefix(PREFIX);
+        self.add_counters(&mut registry);
+        add_state(&mut registry, steering, now);
+        add_gauge(
+            &mut registry,
+            "log_lines_lost",
+            "Log lines lost because nobody took them in time",
+            lost_lines as u64,
+        );
+        let mut buf = String::new();
+        // Writing into a string cannot fail.
+        let _ = text::encode(&mut buf, &registry);
+        buf
+    }
+
+    fn add_counters(&self, registry: &mut Registry) {
+        registry.register(
+            "decisions",
+            "Decisions by their event in docs/EVENTS.md",
+            self.decisions.clone(),
+        );
+        registry.register("packets", "Packets of clients", self.packets.clone());
+        registry.register("store_calls", "Calls to the store", self.calls.clone());
+        registry.register("probes", "Probes of backend servers", self.probes.clone());
+        registry.register(
+            "answer_seconds",
+            "Time from a client's data to the acknowledgement of the answer",
+            self.answers.clone(),
+        );
+    }
+}
+
+/// What distinguishes decisions of one event from each other.
+fn detail(decision: &Decision) -> String {
+    match decision {
+        Decision::FlowPlaced { fitness, .. } => format!("{fitness:?}"),
+        Decision::FlowReset { reason, .. } => reason.to_string(),
+        Decision::PacketDropped { reason, .. } => reason.to_string(),
+        Decision::Learnt { kind, source, .. } => format!("{kind} from {source}"),
+        Decision::StoreAnswers { kind, .. } => kind.to_string(),
+        _ => String::new(),
+    }
+}
+
+fn add_state(registry: &mut Registry, steering: &Steering, now: Time) {
+    let stats = steering.stats(now);
+    let ages: Family<KindLabels, prometheus_client::metrics::gauge::Gauge> = Family::default();
+    for (kind, age) in Kind::ALL.into_iter().zip(stats.ages) {
+        let kind = kind.to_string();
+        let age = age.map_or(-1, |a| a.0 as i64);
+        ages.get_or_create(&KindLabels { kind }).set(age);
+    }
+    registry.register(
+        "knowledge_age_milliseconds",
+        "How old the knowledge of a kind is, -1 if there is none",
+        ages,
+    );
+    let gauges = [
+        (
+            "ready",
+            "Whether this VM serves new flows",
+            u64::from(stats.is_ready),
+        ),
+        ("flows", "Flows that are recorded here", stats.flows as u64),
+        ("flows_waiting", "Flows whose client waits", stats.waiting),
+        (
+            "backends_fit",
+            "Backend servers that take new flows",
+            stats.backends as u64,
+        ),
+        (
+            "backends_dead",
+            "Backend servers held for dead",
+            stats.dead as u64,
+        ),
+        ("peers", "Other VMs that are heard", stats.peers as u64),
+        (
+            "configuration_version",
+            "The operators' number",
+            stats.version,
+        ),
+    ];
+    for (name, help, value) in gauges {
+        add_gauge(registry, name, help, value);
+    }
+}
+
+fn add_gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let value = i64::try_from(value).unwrap_or(i64::MAX);
+    registry.register(name, help, ConstGauge::new(value));
+}
--- a/src/edge/steering/mod.rs
+++ b/src/edge/steering/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod format;
 pub mod log;
+pub mod metrics;
 pub mod node;
 pub mod packets;
 pub mod peers;
--- a/src/edge/steering/node.rs
+++ b/src/edge/steering/node.rs
@@ -15,10 +15,12 @@
     net::UdpSocket,
     time::sleep, //
 };
+use tracing_appender::non_blocking::ErrorCounter;
 
 use super::{
     format::PlatformFormat,
     log::DecisionLog,
+    metrics::Metrics,
     packets,
     peers,
     probes,
@@ -61,6 +63,10 @@
     pub clock: Clock,
     /// The decisions. Never borrowed across an await.
     pub steering: RefCell<Steering>,
+    /// What is counted.
+    pub metrics: Metrics,
+    /// Counts the log lines that were lost.
+    pub lost_lines: ErrorCounter,
     /// The log of decisions.
     pub log: RefCell<DecisionLog>,
     /// Takes packets and sends them on.
@@ -77,7 +83,11 @@
     /// # Errors
     ///
     /// Fails if an address cannot be bound.
-    pub async fn spawn(settings: SteeringSettings, format: F) -> io::Result<Rc<Node<F>>> {
+    pub async fn spawn(
+        settings: SteeringSettings,
+        format: F,
+        lost_lines: ErrorCounter,
+    ) -> io::Result<Rc<Node<F>>> {
         let clock = Clock::start();
         let me = Identity {
             vm: settings.vm.clone(),
@@ -91,6 +101,8 @@
             format,
             clock,
             steering: RefCell::new(Steering::open(me, &settings.seeds, rng_seed)),
+            metrics: Metrics::default(),
+            lost_lines,
             log: RefCell::default(),
             packets: UdpSocket::bind(settings.packets).await?,
             heartbeats: UdpSocket::bind(settings.peers).await?,
@@ -109,14 +121,8 @@
 
     /// Carries out what was decided.
     pub fn act(self: &Rc<Self>) {
-        let (actions, decisions) = {
-            let mut steering = self.steering.borrow_mut();
-            (steering.take_actions(), steering.take_decisions())
-        };
-        let now = self.clock.now();
-        for decision in &decisions {
-            self.log.borrow_mut().write(decision, now);
-        }
+        self.record();
+        let actions = self.steering.borrow_mut().take_actions();
         for action in actions {
             match action {
                 Action::Reset(reset) => packets::send_reset(self, &reset),
@@ -127,6 +133,22 @@
         }
     }
 
+    /// Logs and counts what was decided.
+    fn record(&self) {
+        let (decisions, samples) = {
+            let mut steering = self.steering.borrow_mut();
+            (steering.take_decisions(), steering.take_samples())
+        };
+        let now = self.clock.now();
+        for decision in &decisions {
+            self.metrics.count_decision(decision);
+            self.log.borrow_mut().write(decision, now);
+        }
+        for took in samples {
+            self.metrics.note_answer(took);
+        }
+    }
+
     /// The address that packets for a client are sent to. All clients listen on
     /// the port on which this VM does.
     pub fn client_address(&self, client: SocketAddrV4) -> SocketAddrV4 {
--- a/src/edge/steering/packets.rs
+++ b/src/edge/steering/packets.rs
@@ -67,12 +67,14 @@
         Ok(packet) => packet,
         Err(e) => {
             tracing::debug!(error = %e, "a datagram was dropped");
+            node.metrics.count("malformed");
             return;
         }
     };
     let now = node.clock.now();
     node.last_packet.set(now);
     let verdict = node.steering.borrow_mut().on_packet(&packet, now);
+    node.metrics.count_packet(&verdict);
     match verdict {
         Verdict::Forward(target) => OUT.with_borrow_mut(|out| {
             node.format.write_forward(datagram, &target, out);
@@ -97,5 +99,6 @@
 fn send<F>(node: &Node<F>, datagram: &[u8], to: std::net::SocketAddrV4) {
     if let Err(e) = node.packets.try_send_to(datagram, to.into()) {
         tracing::debug!(error = %e, %to, "a packet could not be sent");
+        node.metrics.count("unsent");
     }
 }
--- a/src/edge/steering/probes.rs
+++ b/src/edge/steering/probes.rs
@@ -44,6 +44,7 @@
     actix_rt::spawn(async move {
         let outcome = probe(node.clock, address).await;
         tracing::info!(backend = %tag, %address, ?outcome, "a backend server was probed");
+        node.metrics.count_probe(outcome);
         let now = node.clock.now();
         node.steering.borrow_mut().on_probe(tag, outcome, now);
         node.act();
--- a/src/edge/steering/ready.rs
+++ b/src/edge/steering/ready.rs
@@ -1,4 +1,4 @@
-//! The readiness probe of the routers, over HTTP.
+//! The readiness probe of the routers and the metrics, over HTTP.
 
 use std::{
     convert::Infallible,
@@ -26,6 +26,9 @@
     node::Node, //
 };
 
+/// Where the metrics are.
+const METRICS_PATH: &str = "/metrics";
+
 /// How long a connection without requests is kept.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
@@ -35,7 +38,8 @@
 ///
 /// Fails if the address cannot be bound.
 pub async fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) -> io::Result<()> {
-    let listener = TcpListener::bind(node.settings.ready).await?;
+    let probes = TcpListener::bind(node.settings.ready).await?;
+    let metrics = TcpListener::bind(node.settings.metrics).await?;
     let answering = Rc::clone(node);
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
@@ -49,7 +53,9 @@
         .new_service(())
         .await
         .map_err(|()| io::Error::other("the readiness service did not start"))?;
-    actix_rt::spawn(accept(listener, Rc::new(service)));
+    let service = Rc::new(service);
+    actix_rt::spawn(accept(probes, Rc::clone(&service)));
+    actix_rt::spawn(accept(metrics, service));
     Ok(())
 }
 
@@ -75,13 +81,26 @@
     }
 }
 
-fn answer<F: PlatformFormat>(node: &Node<F>, req: &Request) -> Response<&'static str> {
+fn answer<F: PlatformFormat>(node: &Node<F>, req: &Request) -> Response<String> {
+    if req.path() == METRICS_PATH {
+        return Response::new(StatusCode::OK).set_body(metrics(node));
+    }
     if req.path() != node.format.readiness_path() {
-        return Response::new(StatusCode::NOT_FOUND)
-            .set_body("there is only the readiness probe\n");
+        let text = format!(
+            "ask for {} or {METRICS_PATH}\n",
+            node.format.readiness_path()
+        );
+        return Response::new(StatusCode::NOT_FOUND).set_body(text);
     }
     if node.steering.borrow().is_ready() {
-        return Response::new(StatusCode::OK).set_body("ready\n");
+        return Response::new(StatusCode::OK).set_body("ready\n".to_owned());
     }
-    Response::new(StatusCode::SERVICE_UNAVAILABLE).set_body("not ready\n")
+    Response::new(StatusCode::SERVICE_UNAVAILABLE).set_body("not ready\n".to_owned())
+}
+
+fn metrics<F>(node: &Node<F>) -> String {
+    let lost_lines = node.lost_lines.dropped_lines();
+    let now = node.clock.now();
+    node.metrics
+        .encode(&node.steering.borrow(), lost_lines, now)
 }
--- a/src/edge/steering/store.rs
+++ b/src/edge/steering/store.rs
@@ -62,6 +62,7 @@
             // The connection may have gone silent; the next call gets another.
             client = connect();
         }
+        node.metrics.count_call(kind, &answer);
         let now = node.clock.now();
         node.steering
             .borrow_mut()
--- a/src/settings/steering.rs
+++ b/src/settings/steering.rs
@@ -8,6 +8,7 @@
 //! | `[listen]` | `packets` | required | UDP, packets of clients; clients listen on the same port |
 //! | `[listen]` | `ready` | required | TCP, HTTP readiness probe |
 //! | `[listen]` | `peers` | required | TCP and UDP, messages of other VMs |
+//! | `[listen]` | `metrics` | required | TCP, HTTP `/metrics` |
 //! | `[store]` | `address` | required | TCP, the HTTP address of the platform's store |
 //! | `[seeds]` | `addresses` | none | other VMs, `IP:PORT,..`; the port of `peers` is used |
 //! | `[stop]` | `seconds` | 6 | how long a planned stop may take |
@@ -63,6 +64,8 @@
     pub ready: SocketAddrV4,
     /// The TCP and UDP address for messages of other VMs.
     pub peers: SocketAddrV4,
+    /// The HTTP address of the metrics.
+    pub metrics: SocketAddrV4,
     /// The HTTP address of the platform's store.
     pub store: SocketAddrV4,
     /// Where other VMs may be found.
@@ -102,6 +105,7 @@
     let packets = rx.required("listen", "packets", ADDRESS_REMEDY, parse_address);
     let ready = rx.required("listen", "ready", ADDRESS_REMEDY, parse_address);
     let peers = rx.required("listen", "peers", ADDRESS_REMEDY, parse_address);
+    let metrics = rx.required("listen", "metrics", ADDRESS_REMEDY, parse_address);
     let store = rx.required("store", "address", ADDRESS_REMEDY, parse_address);
     let seeds = rx.optional("seeds", "addresses", Vec::new(), SEEDS_REMEDY, parse_seeds);
     let stop_time = rx.optional("stop", "seconds", DEFAULT_STOP, STOP_REMEDY, parse_seconds);
@@ -114,6 +118,7 @@
         packets: packets?,
         ready: ready?,
         peers,
+        metrics: metrics?,
         store: store?,
         seeds: seeds
             .iter()
