--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     core::{
-        notice::Notice,
+        notice::{
+            Level,
+            Notice, //
+        },
         steering::decision::Decision, //
     },
     kernel::clock::{
@@ -62,7 +65,11 @@
     ($decision:expr, $($fields:tt)*) => {{
         let notice = $decision.notice();
         let (event, text) = (notice.number(), notice.text());
-        tracing::info!(target: TARGET, event, $($fields)*, "{text}");
+        match notice.level() {
+            Level::Error => tracing::error!(target: TARGET, event, $($fields)*, "{text}"),
+            Level::Warn => tracing::warn!(target: TARGET, event, $($fields)*, "{text}"),
+            Level::Info => tracing::info!(target: TARGET, event, $($fields)*, "{text}"),
+        }
     }};
 }
 
--- a/testkit/src/process/mod.rs
+++ b/testkit/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod child;
 pub mod http;
 pub mod system;
+pub mod users_platform;
 
 pub use child::{
     Child,
