Find other VMs through the store, notice suspensions and changed settings

A VM whose seeds are stale was alone for good: it read the store by itself and held itself for the one that warms backend servers. The reader now notes where it is found, one object for each data centre, and a VM that hears nobody looks there. What a VM knew before a suspension counts as older by its length. The settings file is read again on SIGHUP and when it changes.

--- a/src/command/steer.rs
+++ b/src/command/steer.rs
@@ -1,14 +1,23 @@
 //! `dragonflytrack steer`: an entry VM that steers by tag.
 
 use std::{
-    env,
-    io,
-    path::PathBuf, //
+    env, fs, io,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    time::{
+        Duration,
+        SystemTime, //
+    },
 };
 
-use actix_rt::signal::unix::{
-    SignalKind,
-    signal, //
+use actix_rt::{
+    signal::unix::{
+        SignalKind,
+        signal, //
+    },
+    time::sleep, //
 };
 use futures_util::future::{
     Either,
@@ -38,6 +47,9 @@
     settings::SteeringSettings,
 };
 
+/// How often the settings file is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The options of `steer`.
 #[derive(Debug, Options)]
 pub struct Steer {
@@ -73,7 +85,7 @@
             return EXIT_FAILED;
         }
     };
-    match actix_rt::System::new().block_on(serve(settings, &log)) {
+    match actix_rt::System::new().block_on(serve(settings, &path, &log)) {
         Ok(()) => EXIT_OK,
         Err(e) => {
             eprintln!("cannot serve: {e}");
@@ -82,20 +94,42 @@
     }
 }
 
-async fn serve(settings: SteeringSettings, log: &LossyLog) -> io::Result<()> {
+async fn serve(settings: SteeringSettings, path: &Path, log: &LossyLog) -> io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     note(Notice::Started, settings.vm.as_str());
     let node = Node::spawn(settings, UsersPlatform, log.lost_lines.clone()).await?;
+    let mut changed = modified(path);
     loop {
-        match select(Box::pin(term.recv()), Box::pin(reload.recv())).await {
+        let changes = async {
+            let pause = Box::pin(sleep(LOOK_INTERVAL));
+            select(Box::pin(hangup.recv()), pause).await
+        };
+        match select(Box::pin(term.recv()), Box::pin(changes)).await {
             Either::Left(_) => break,
-            // Nothing in the settings changes while a process runs.
-            Either::Right(_) => note(Notice::ReloadIgnored, ""),
+            Either::Right((Either::Left(_), _)) => reload(&node, path),
+            // The file may change without a signal.
+            Either::Right((Either::Right(_), _)) if modified(path) != changed => {
+                reload(&node, path);
+            }
+            Either::Right(_) => {}
         }
+        changed = modified(path);
     }
     note(Notice::Stopping, "");
     node.stop().await;
     note(Notice::Stopped, "");
     Ok(())
 }
+
+/// When the settings file was changed last; `None` if it cannot be read.
+fn modified(path: &Path) -> Option<SystemTime> {
+    fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
+fn reload(node: &Node<UsersPlatform>, path: &Path) {
+    match SteeringSettings::load(path) {
+        Ok(settings) => node.reload(&settings),
+        Err(e) => note(Notice::ReloadRefused, &e.to_string()),
+    }
+}
--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -48,7 +48,9 @@
     1003 Stopped Info "The planned stop is complete.";
     1004 StopTimedOut Error "The planned stop took too long and was cut short.";
     1005 StopForced Warn "A second signal cut the planned stop short.";
-    1006 ReloadIgnored Info "The settings are read at the start only; the signal to reload them was ignored.";
+    1006 Reloaded Info "The settings were read again.";
+    1007 ReloadIncomplete Warn "The settings were read again, but some that changed need a restart.";
+    1008 ReloadRefused Error "The settings that changed make no sense; those before stay in force.";
     // 2000: membership.
     2001 PeerJoined Info "A VM has joined the view.";
     2002 PeerSuspected Warn "A VM is suspected because its heartbeats stopped.";
--- a/src/core/steering/beliefs.rs
+++ b/src/core/steering/beliefs.rs
@@ -74,6 +74,13 @@
         self.known[kind as usize].changed = changed;
     }
 
+    /// Notes that all knowledge is older than the clock says.
+    pub fn age_by(&mut self, span: Millis) {
+        for known in &mut self.known {
+            known.as_of = known.as_of - span;
+        }
+    }
+
     /// Notes that the store failed to answer.
     pub fn note_trouble(&mut self, at: Time) {
         self.trouble = self.trouble.max(Some(at));
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -76,7 +76,7 @@
 
     /// The number of live VMs that come before this one. Those that the store
     /// does not answer come last, and the weak after the strong.
-    fn rank(&self, now: Time) -> usize {
+    pub(super) fn rank(&self, now: Time) -> usize {
         let strength = Reverse(self.me.strength);
         let mine = (self.is_stopping, !self.has_store(), strength, &self.me.vm);
         self.peers
@@ -87,7 +87,7 @@
     }
 
     /// Tells whether the store answered the last calls of this VM.
-    fn has_store(&self) -> bool {
+    pub(super) fn has_store(&self) -> bool {
         self.readers.iter().all(Reader::was_answered)
     }
 
--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -124,6 +124,11 @@
         self.add(contact.address, Some(contact), now);
     }
 
+    /// Adds an address at which a VM may be found.
+    pub fn add_seed(&mut self, address: SocketAddrV4, now: Time) {
+        self.add(address, None, now);
+    }
+
     fn add(&mut self, address: SocketAddrV4, contact: Option<&Contact>, now: Time) {
         if address == self.me.address {
             return;
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 pub mod placing;
 pub mod reading;
+pub mod registration;
 pub mod routing;
 pub mod store;
 pub mod suspicion;
@@ -65,6 +66,10 @@
     Reader,
     Step, //
 };
+use registration::{
+    Registration,
+    Situation, //
+};
 use routing::Routing;
 use store::{
     Kind,
@@ -225,6 +230,7 @@
     cold: ColdBudget,
     answers: AnswerTimes,
     peers: Members,
+    registration: Registration,
     remote: RemoteLoads,
     beliefs: Beliefs,
     /// Invariant: one for each kind, by the order of [`Kind::ALL`].
@@ -251,6 +257,7 @@
     pub fn open(me: Identity, seeds: &[SocketAddrV4], rng_seed: u64) -> Steering {
         Steering {
             peers: Members::open(me.contact(), seeds),
+            registration: Registration::default(),
             me,
             routing: Routing::default(),
             directory: Directory::default(),
@@ -297,7 +304,9 @@
 
     /// Takes in the answer to a call that was sent at `sent`.
     pub fn on_answer(&mut self, call: &StoreCall, answer: StoreAnswer, sent: Time, now: Time) {
-        let kind = call.kind();
+        let Some(kind) = call.kind() else {
+            return;
+        };
         let answers = !matches!(answer, StoreAnswer::Busy | StoreAnswer::NoAnswer);
         if !answers {
             self.beliefs.note_trouble(now);
@@ -316,6 +325,34 @@
         self.apply(kind, update, revision, as_of, Source::Store, now);
     }
 
+    /// Returns what to ask or tell the store about VMs.
+    pub fn next_registration(&mut self, now: Time) -> Option<StoreCall> {
+        let situation = Situation {
+            hears_others: self.peers.live(now).next().is_some(),
+            reads: self.rank(now) == 0 && self.has_store(),
+        };
+        self.registration.next(situation, &self.me.contact(), now)
+    }
+
+    /// Takes in the answer to such a call.
+    pub fn on_registration(&mut self, answer: StoreAnswer, now: Time) {
+        for contact in self.registration.on_answer(answer, now) {
+            self.peers.add_contact(&contact, now);
+        }
+    }
+
+    /// Takes in that this VM stood still for `span`, which its clock left out.
+    pub fn on_suspension(&mut self, span: Millis) {
+        self.beliefs.age_by(span);
+    }
+
+    /// Adds addresses at which other VMs may be found.
+    pub fn add_seeds(&mut self, seeds: &[SocketAddrV4], now: Time) {
+        for seed in seeds {
+            self.peers.add_seed(*seed, now);
+        }
+    }
+
     /// Does what has become due.
     pub fn tick(&mut self, now: Time) {
         self.directory.tick(self.beliefs.trouble_over(), now);
--- a/src/core/steering/reading.rs
+++ b/src/core/steering/reading.rs
@@ -186,7 +186,12 @@
                 self.state = State::from_start(false);
                 None
             }
-            StoreAnswer::Busy | StoreAnswer::NoAnswer => {
+            // The last three answer calls that a reader does not make.
+            StoreAnswer::Busy
+            | StoreAnswer::NoAnswer
+            | StoreAnswer::Contacts(_)
+            | StoreAnswer::Registered
+            | StoreAnswer::OtherwiseThere => {
                 self.on_failure(now, rng);
                 None
             }
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -9,7 +9,10 @@
 };
 use smallvec::SmallVec;
 
-use super::tag::BackendKey;
+use super::{
+    peers::Contact,
+    tag::BackendKey, //
+};
 use crate::{
     core::names::{
         DataCentreId,
@@ -175,13 +178,33 @@
         /// How long to wait.
         wait: Millis,
     },
+    /// Reads where VMs may be found.
+    Lookup,
+    /// Notes where a VM may be found, for its whole data centre.
+    Register {
+        /// The VM.
+        contact: Contact,
+        /// Whether there is such a note already, which is replaced.
+        replaces: bool,
+    },
 }
 
 impl StoreCall {
-    /// The kind that the call asks about.
-    pub fn kind(&self) -> Kind {
+    /// The kind that the call asks about, if it is one that steering follows.
+    pub fn kind(&self) -> Option<Kind> {
         match self {
-            StoreCall::List { kind, .. } | StoreCall::Watch { kind, .. } => *kind,
+            StoreCall::List { kind, .. } | StoreCall::Watch { kind, .. } => Some(*kind),
+            StoreCall::Lookup | StoreCall::Register { .. } => None,
+        }
+    }
+
+    /// What the call is about, for the log.
+    pub fn subject(&self) -> &'static str {
+        match self.kind() {
+            Some(Kind::Configuration) => "configuration",
+            Some(Kind::BackendServers) => "backend_servers",
+            Some(Kind::Evacuations) => "evacuations",
+            None => "vms",
         }
     }
 
@@ -199,8 +222,8 @@
     /// How long the store may hold the answer back on purpose.
     pub fn wait(&self) -> Millis {
         match self {
-            StoreCall::List { .. } => Millis(0),
             StoreCall::Watch { wait, .. } => *wait,
+            _ => Millis(0),
         }
     }
 }
@@ -224,6 +247,12 @@
         /// The version of the store.
         revision: Revision,
     },
+    /// Where VMs may be found.
+    Contacts(Vec<Contact>),
+    /// The note was taken.
+    Registered,
+    /// There is such a note already, or none to replace.
+    OtherwiseThere,
     /// The changes since the version are no longer kept.
     HistoryGone,
     /// The store refuses the call for now.
--- a/src/edge/steering/format.rs
+++ b/src/edge/steering/format.rs
@@ -36,6 +36,28 @@
     },
 }
 
+/// The method of an HTTP request to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Method {
+    /// Reads.
+    Get,
+    /// Creates.
+    Post,
+    /// Replaces.
+    Put,
+}
+
+/// An HTTP request to the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreRequest {
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub path: String,
+    /// The JSON body, if there is one.
+    pub body: Option<serde_json::Value>,
+}
+
 /// The names and forms of one platform. An implementation translates; it
 /// decides nothing and keeps nothing.
 pub trait PlatformFormat {
@@ -56,8 +78,8 @@
     /// Writes to `buf` the datagram that tells a client that its flow is over.
     fn write_reset(&self, reset: &Reset, buf: &mut Vec<u8>);
 
-    /// Returns the path and query of a call.
-    fn store_path(&self, call: &StoreCall) -> String;
+    /// Returns the HTTP request of a call.
+    fn store_request(&self, call: &StoreCall) -> StoreRequest;
 
     /// Reads the answer to a call from its status and body.
     fn read_answer(&self, call: &StoreCall, status: u16, body: &[u8]) -> StoreAnswer;
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -45,7 +45,7 @@
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct CallLabels {
-    kind: String,
+    subject: &'static str,
     answer: &'static str,
 }
 
@@ -107,16 +107,19 @@
     }
 
     /// Counts a call to the store.
-    pub fn count_call(&self, kind: Kind, answer: &StoreAnswer) {
+    pub fn count_call(&self, subject: &'static str, answer: &StoreAnswer) {
         let answer = match answer {
             StoreAnswer::Page { .. } => "page",
             StoreAnswer::Changes { .. } => "changes",
+            StoreAnswer::Contacts(_) => "contacts",
+            StoreAnswer::Registered => "registered",
+            StoreAnswer::OtherwiseThere => "otherwise_there",
             StoreAnswer::HistoryGone => "history_gone",
             StoreAnswer::Busy => "busy",
             StoreAnswer::NoAnswer => "none",
         };
-        let kind = kind.to_string();
-        self.calls.get_or_create(&CallLabels { kind, answer }).inc();
+        let labels = CallLabels { subject, answer };
+        self.calls.get_or_create(&labels).inc();
     }
 
     /// Counts a probe of a backend server.
--- a/src/edge/steering/node.rs
+++ b/src/edge/steering/node.rs
@@ -15,6 +15,7 @@
     net::UdpSocket,
     time::sleep, //
 };
+use tokio::sync::Notify;
 use tracing_appender::non_blocking::ErrorCounter;
 
 use super::{
@@ -30,6 +31,7 @@
 use crate::{
     core::{
         names::Incarnation,
+        notice::Notice,
         steering::{
             Action,
             Identity,
@@ -39,6 +41,7 @@
             store::Kind, //
         },
     },
+    edge::log::note,
     kernel::clock::{
         Clock,
         Millis,
@@ -50,6 +53,9 @@
 /// A stopping VM that got no packet for this long has nothing left to do.
 const QUIET_TIME: Millis = Millis(400);
 
+/// A suspension of the VM that is longer makes what it knows older.
+const NOTICED_SUSPENSION: Millis = Millis(200);
+
 /// Kept from the time that a planned stop may take.
 const STOP_MARGIN: Millis = Millis(800);
 
@@ -63,6 +69,8 @@
     pub clock: Clock,
     /// The decisions. Never borrowed across an await.
     pub steering: RefCell<Steering>,
+    /// Ends calls that wait for the store since before a suspension.
+    pub resumed: Notify,
     /// What is counted.
     pub metrics: Metrics,
     /// Counts the log lines that were lost.
@@ -101,6 +109,7 @@
             format,
             clock,
             steering: RefCell::new(Steering::open(me, &settings.seeds, rng_seed)),
+            resumed: Notify::new(),
             metrics: Metrics::default(),
             lost_lines,
             log: RefCell::default(),
@@ -115,10 +124,26 @@
         for kind in Kind::ALL {
             store::spawn(&node, kind);
         }
+        store::spawn_registration(&node);
         actix_rt::spawn(tick(Rc::clone(&node)));
         Ok(node)
     }
 
+    /// Takes in settings that changed. Addresses need a restart.
+    pub fn reload(&self, settings: &SteeringSettings) {
+        let now = self.clock.now();
+        self.steering.borrow_mut().add_seeds(&settings.seeds, now);
+        let is_same = SteeringSettings {
+            seeds: self.settings.seeds.clone(),
+            ..settings.clone()
+        } == self.settings;
+        if is_same {
+            note(Notice::Reloaded, "");
+        } else {
+            note(Notice::ReloadIncomplete, "");
+        }
+    }
+
     /// Carries out what was decided.
     pub fn act(self: &Rc<Self>) {
         self.record();
@@ -176,8 +201,16 @@
 }
 
 async fn tick<F: PlatformFormat + 'static>(node: Rc<Node<F>>) {
+    let mut suspended = node.clock.suspended();
     loop {
         sleep(Duration::from_millis(TICK.0)).await;
+        let before = std::mem::replace(&mut suspended, node.clock.suspended());
+        let span = suspended - before;
+        if span > NOTICED_SUSPENSION {
+            tracing::warn!(span_ms = span.0, "this VM was suspended");
+            node.steering.borrow_mut().on_suspension(span);
+            node.resumed.notify_waiters();
+        }
         node.steering.borrow_mut().tick(node.clock.now());
         node.act();
     }
--- a/src/edge/steering/store.rs
+++ b/src/edge/steering/store.rs
@@ -1,6 +1,8 @@
 //! Calls to the platform's store, over HTTP.
 
 use std::{
+    error::Error,
+    net::SocketAddrV4,
     rc::Rc,
     time::Duration, //
 };
@@ -14,9 +16,17 @@
     Connector, //
 };
 use bytes::Bytes;
+use futures_util::future::{
+    Either,
+    select, //
+};
 
 use super::{
-    format::PlatformFormat,
+    format::{
+        Method,
+        PlatformFormat,
+        StoreRequest, //
+    },
     node::Node, //
 };
 use crate::{
@@ -37,6 +47,9 @@
 /// How long a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How often a VM looks whether it has anything to register or look up.
+const REGISTRATION_PAUSE: Duration = Duration::from_millis(500);
+
 /// The largest answer in bytes.
 const MAX_ANSWER: usize = 8 << 20;
 
@@ -62,7 +75,6 @@
             // The connection may have gone silent; the next call gets another.
             client = connect();
         }
-        node.metrics.count_call(kind, &answer);
         let now = node.clock.now();
         node.steering
             .borrow_mut()
@@ -79,29 +91,66 @@
         .finish()
 }
 
+/// Starts to tell the store where VMs may be found, and to look that up.
+pub fn spawn_registration<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) {
+    actix_rt::spawn(register(Rc::clone(node)));
+}
+
+async fn register<F: PlatformFormat + 'static>(node: Rc<Node<F>>) {
+    loop {
+        sleep(REGISTRATION_PAUSE).await;
+        let now = node.clock.now();
+        let call = node.steering.borrow_mut().next_registration(now);
+        let Some(call) = call else {
+            continue;
+        };
+        let answer = answer(&node, &connect(), &call).await;
+        let now = node.clock.now();
+        node.steering.borrow_mut().on_registration(answer, now);
+    }
+}
+
 async fn answer<F: PlatformFormat>(
     node: &Node<F>,
     client: &Client,
     call: &StoreCall,
 ) -> StoreAnswer {
-    let path = node.format.store_path(call);
-    let url = format!("http://{}{path}", node.settings.store);
+    let request = node.format.store_request(call);
     let limit = Duration::from_millis((ANSWER_TIMEOUT + call.wait()).0);
-    match timeout(limit, get(client, url)).await {
-        Ok(Ok((status, body))) => node.format.read_answer(call, status, &body),
-        Ok(Err(e)) => {
-            tracing::info!(kind = %call.kind(), error = %e, "the store gave no answer");
+    let subject = call.subject();
+    let sending = Box::pin(send(client, node.settings.store, request));
+    let ended = select(sending, Box::pin(node.resumed.notified()));
+    let answer = match timeout(limit, ended).await {
+        Ok(Either::Right(_)) => StoreAnswer::NoAnswer,
+        Ok(Either::Left((Ok((status, body)), _))) => node.format.read_answer(call, status, &body),
+        Ok(Either::Left((Err(e), _))) => {
+            tracing::debug!(subject, error = %e, "the store gave no answer");
             StoreAnswer::NoAnswer
         }
         Err(_) => {
-            tracing::info!(kind = %call.kind(), "the store gave no answer in time");
+            tracing::debug!(subject, "the store gave no answer in time");
             StoreAnswer::NoAnswer
         }
-    }
+    };
+    node.metrics.count_call(subject, &answer);
+    answer
 }
 
-async fn get(client: &Client, url: String) -> Result<(u16, Bytes), Box<dyn std::error::Error>> {
-    let mut response = client.get(url).send().await?;
+async fn send(
+    client: &Client,
+    store: SocketAddrV4,
+    request: StoreRequest,
+) -> Result<(u16, Bytes), Box<dyn Error>> {
+    let url = format!("http://{store}{}", request.path);
+    let call = match request.method {
+        Method::Get => client.get(url),
+        Method::Post => client.post(url),
+        Method::Put => client.put(url),
+    };
+    let mut response = match request.body {
+        Some(body) => call.send_json(&body).await?,
+        None => call.send().await?,
+    };
     let body = response.body().limit(MAX_ANSWER).await?;
     Ok((response.status().as_u16(), body))
 }
--- a/src/kernel/clock.rs
+++ b/src/kernel/clock.rs
@@ -14,6 +14,11 @@
 };
 
 use derive_more::Display;
+use rustix::time::{
+    ClockId,
+    Timespec,
+    clock_gettime, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -156,6 +161,15 @@
         Time(self.started.elapsed().as_millis() as u64)
     }
 
+    /// Returns how long the machine has been suspended in all. [`Time`] stands
+    /// still meanwhile.
+    pub fn suspended(&self) -> Millis {
+        let boot = clock_gettime(ClockId::Boottime);
+        let monotonic = clock_gettime(ClockId::Monotonic);
+        let millis = |t: Timespec| t.tv_sec as u64 * 1_000 + t.tv_nsec as u64 / 1_000_000;
+        Millis(millis(boot)) - Millis(millis(monotonic))
+    }
+
     /// Returns the wall-clock time.
     pub fn wall(&self) -> WallTime {
         let since_epoch = SystemTime::now()
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -31,6 +31,7 @@
                 Verdict, //
             },
             peers::{
+                Contact,
                 SnapshotRequest,
                 Want, //
             },
@@ -82,6 +83,8 @@
     history: Vec<(u64, Kind, Change)>,
     /// Changes up to this version are no longer kept.
     forgotten: u64,
+    /// Where VMs said that they may be found.
+    contacts: Vec<Contact>,
 }
 
 impl FakeStore {
@@ -135,6 +138,8 @@
                     .collect();
                 (!changes.is_empty()).then_some(StoreAnswer::Changes { changes, revision })
             }
+            StoreCall::Lookup => Some(StoreAnswer::Contacts(self.contacts.clone())),
+            StoreCall::Register { .. } => Some(StoreAnswer::Registered),
         }
     }
 
@@ -206,9 +211,15 @@
     machines: Vec<Option<Machine>>,
     deliveries: Vec<(Time, Delivery)>,
     places: Vec<DataCentreId>,
+    seeds: Vec<SocketAddrV4>,
 }
 
 impl World {
+    /// Gives VMs that start from now on other addresses to find each other.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.seeds = seeds.to_vec();
+    }
+
     /// Starts `places.len()` VMs, each in the data centre that is named.
     pub fn start(places: &[&str]) -> World {
         let mut world = World {
@@ -222,6 +233,7 @@
             decisions: Vec::new(),
             machines: Vec::new(),
             deliveries: Vec::new(),
+            seeds: (0..places.len().min(3)).map(address).collect(),
             places: places.iter().map(DataCentreId::new).collect(),
         };
         for at in 0..places.len() {
@@ -240,9 +252,8 @@
             address: address(at),
             strength: 250,
         };
-        let seeds: Vec<SocketAddrV4> = (0..self.places.len().min(3)).map(address).collect();
         self.machines[at] = Some(Machine {
-            steering: Steering::open(me, &seeds, at as u64 + 7),
+            steering: Steering::open(me, &self.seeds, at as u64 + 7),
             calling: BTreeMap::new(),
             paused_until: BTreeMap::new(),
         });
@@ -293,6 +304,7 @@
         if self.now.0.is_multiple_of(TICK.0) {
             let now = self.now;
             self.vm(at).tick(now);
+            self.register(at);
         }
         self.act(at);
     }
@@ -336,6 +348,20 @@
         }
     }
 
+    fn register(&mut self, at: usize) {
+        let now = self.now;
+        let Some(call) = self.vm(at).next_registration(now) else {
+            return;
+        };
+        self.calls += 1;
+        if let StoreCall::Register { contact, .. } = &call {
+            self.store.contacts.push(contact.clone());
+        }
+        if let Some(answer) = self.store.answer(&call) {
+            self.vm(at).on_registration(answer, now);
+        }
+    }
+
     fn act(&mut self, at: usize) {
         let actions = self.vm(at).take_actions();
         let decisions = self.vm(at).take_decisions();
--- a/tests/platform_objects.rs
+++ b/tests/platform_objects.rs
@@ -1,20 +1,30 @@
 //! The adapter reads the objects of the platform's store, also bad ones.
 
 use dragonflytrack::{
-    core::steering::{
-        store::{
-            BackendServer,
-            Configuration,
-            Kind,
-            Object,
-            Revision,
-            StoreAnswer,
-            StoreCall,
-            Value, //
+    core::{
+        names::{
+            DataCentreId,
+            VmId, //
         },
-        tag::BackendKey,
+        steering::{
+            peers::Contact,
+            store::{
+                BackendServer,
+                Configuration,
+                Kind,
+                Object,
+                Revision,
+                StoreAnswer,
+                StoreCall,
+                Value, //
+            },
+            tag::BackendKey, //
+        },
+    },
+    edge::steering::format::{
+        Method,
+        PlatformFormat, //
     },
-    edge::steering::format::PlatformFormat,
     kernel::clock::Millis,
     platform::UsersPlatform,
 };
@@ -101,24 +111,55 @@
     })
 }
 
+fn path(call: &StoreCall) -> String {
+    let request = UsersPlatform.store_request(call);
+    assert_eq!((request.method, &request.body), (Method::Get, &None));
+    request.path
+}
+
+fn contact() -> Contact {
+    Contact {
+        vm: VmId::new("vm-1"),
+        data_centre: DataCentreId::new("bud-a"),
+        address: "10.1.0.7:7200".parse().expect("an address"),
+        strength: 250,
+    }
+}
+
+#[test]
+fn a_vm_notes_where_it_may_be_found_and_others_read_it() {
+    let register = |replaces| StoreCall::Register {
+        contact: contact(),
+        replaces,
+    };
+    let first = UsersPlatform.store_request(&register(false));
+    assert_eq!(first.method, Method::Post);
+    let later = UsersPlatform.store_request(&register(true));
+    assert_eq!(later.method, Method::Put);
+    assert_eq!(later.path, format!("{}/bud%2Da", first.path));
+    let spec = first.body.expect("a body")["spec"].clone();
+    let body = json!({"items": [item("bud-a", spec), item("x", json!(3))], "more": false, "storeRevision": 5});
+    let answer = read(&StoreCall::Lookup, 200, &body);
+    assert_eq!(answer, StoreAnswer::Contacts(vec![contact()]));
+    let answer = read(&register(false), 409, &json!({}));
+    assert_eq!(answer, StoreAnswer::OtherwiseThere);
+}
+
 #[test]
 fn paths_are_those_of_the_pages() {
     let servers = list(Kind::BackendServers);
-    assert_eq!(UsersPlatform.store_path(&servers), "/api/objects/servers");
+    assert_eq!(path(&servers), "/api/objects/servers");
     let next = StoreCall::List {
         kind: Kind::BackendServers,
         after: Some("i-7f/&".to_owned()),
         may_be_old: true,
     };
     assert_eq!(
-        UsersPlatform.store_path(&next),
+        path(&next),
         "/api/objects/servers?allowStale=1&after=i%2D7f%2F%26"
     );
     let config = watch(Kind::Configuration);
-    assert_eq!(
-        UsersPlatform.store_path(&config),
-        "/api/objects/config?watch=530&waitMs=1500"
-    );
+    assert_eq!(path(&config), "/api/objects/config?watch=530&waitMs=1500");
 }
 
 #[test]
--- a/tests/steering_knowledge.rs
+++ b/tests/steering_knowledge.rs
@@ -4,6 +4,7 @@
     core::steering::{
         decision::Decision,
         packet::Verdict,
+        reading::Step,
         store::Kind, //
     },
     kernel::clock::Millis,
@@ -122,6 +123,36 @@
     assert!(matches!(verdict, Verdict::Forward(_)), "{verdict:?}");
 }
 
+#[test]
+fn a_vm_whose_seeds_are_stale_finds_the_others_through_the_store() {
+    let mut world = world();
+    world.run(Millis(4_000));
+    world.set_seeds(&["10.9.9.9:7000".parse().expect("an address")]);
+    world.restart(5);
+    world.run(Millis(4_000));
+    let hears = |(at, d): &(usize, Decision)| {
+        *at == 5 && matches!(d, Decision::PeerHeard { is_heard: true, .. })
+    };
+    let heard = world
+        .decisions
+        .iter()
+        .rev()
+        .take(200)
+        .filter(|d| hears(d))
+        .count();
+    assert!(heard >= 5, "{heard}");
+}
+
+#[test]
+fn a_vm_that_was_suspended_asks_before_it_believes_itself() {
+    let mut world = world();
+    let now = world.now;
+    let kind = Kind::Configuration;
+    assert!(matches!(world.vm(5).next_call(kind, now), Step::Wait(_)));
+    world.vm(5).on_suspension(Millis(30_000));
+    assert!(matches!(world.vm(5).next_call(kind, now), Step::Call(_)));
+}
+
 #[test]
 fn all_vms_started_anew_serve_as_soon_as_the_store_answers() {
     let mut world = world();
