--- a/tests/steering_knowledge.rs
+++ b/tests/steering_knowledge.rs
@@ -146,6 +146,7 @@
 #[test]
 fn a_vm_that_was_suspended_asks_before_it_believes_itself() {
     let mut world = world();
+    world.run(Millis(5_000));
     let now = world.now;
     let kind = Kind::Configuration;
     assert!(matches!(world.vm(5).next_call(kind, now), Step::Wait(_)));
