--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -15,6 +15,7 @@
 pub mod check;
 pub mod client;
 pub mod confirm;
+pub mod explain;
 pub mod plan;
 pub mod run;
 pub mod services;
@@ -67,6 +68,9 @@
     /// List the services.
     #[options(help = "list the services with their backend servers")]
     Services(services::ServicesArgs),
+    /// Tell the story of a flow.
+    #[options(help = "tell from log files what became of a client's flow, and why")]
+    Explain(explain::Explain),
     /// Check a settings file.
     #[options(help = "check a settings file")]
     Check(check::Check),
@@ -85,6 +89,7 @@
         Some(Command::Confirm(args)) => confirm::run(&args),
         Some(Command::Status(args)) => status::run(&args),
         Some(Command::Services(args)) => services::run(&args),
+        Some(Command::Explain(args)) => explain::run(&args),
         Some(Command::Check(args)) => check::run(&args),
         Some(Command::Version(args)) => version::run(&args),
         None => usage(),
--- a/testkit/src/process/users_platform.rs
+++ b/testkit/src/process/users_platform.rs
@@ -333,6 +333,17 @@
     service: SocketAddrV4,
 }
 
+/// What came back for data on a flow.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// The backend server of this name answered.
+    Answer(String),
+    /// The flow was reset.
+    Reset,
+    /// Nothing came in time.
+    Nothing,
+}
+
 /// A flow that its client uses.
 #[derive(Clone, Debug)]
 pub struct Flow {
@@ -378,9 +389,8 @@
         })
     }
 
-    /// Sends data on a flow through the VM at `vm`. Returns the name of the
-    /// backend server that answers, `None` if the flow was reset or nothing came.
-    pub fn ask(&self, vm: SocketAddr, flow: &mut Flow) -> Option<String> {
+    /// Sends data on a flow through the VM at `vm`.
+    pub fn ask(&self, vm: SocketAddr, flow: &mut Flow) -> Reply {
         let packet = Packet {
             flags: flag::ACK,
             seq: flow.seq,
@@ -389,11 +399,16 @@
             data: b"question".to_vec(),
             ..self.packet(flow.port)
         };
-        let reply = self.exchange(vm, &packet)?;
+        let Some(reply) = self.exchange(vm, &packet) else {
+            return Reply::Nothing;
+        };
+        if reply.flags & flag::RST != 0 {
+            return Reply::Reset;
+        }
         flow.echo = reply.echo;
         flow.seq += packet.data.len() as u32;
-        flow.ack += reply.data.len() as u32;
-        (reply.flags == flag::ACK).then(|| String::from_utf8_lossy(&reply.data).into_owned())
+        flow.ack = reply.seq + reply.data.len() as u32;
+        Reply::Answer(String::from_utf8_lossy(&reply.data).into_owned())
     }
 
     /// Sends a first packet and tells whether it was reset.
--- /dev/null
+++ b/tests/soak_steer.rs
@@ -0,0 +1,236 @@
+//! A randomized soak: real VMs as processes, faults from outside, promises
+//! checked while it runs.
+//!
+//! `SOAK_SEEDS=N` plays N fresh seeds instead of the fixed ones, `SOAK_SEED=S`
+//! the one seed S.
+
+use std::{
+    collections::BTreeSet,
+    env,
+    path::Path,
+    thread,
+    time::{
+        Duration,
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use dragonflytrack_testkit::process::{
+    Signal,
+    steering::{
+        LIMIT,
+        SteeringSystem, //
+    },
+    users_platform::{
+        Flow,
+        Reply, //
+    },
+};
+use rand::{
+    Rng,
+    SeedableRng,
+    rngs::SmallRng, //
+};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_dragonflytrack");
+
+/// Played in each run. A seed that ever failed is added with its cause.
+const FIXED_SEEDS: [u64; 2] = [1, 2];
+
+const VMS: u8 = 3;
+const BACKENDS: u32 = 4;
+const FLOWS: u16 = 24;
+const ROUNDS: usize = 25;
+
+/// How long a change may take to be in force, on a busy machine.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+/// The tries of a client with one piece of data, through any VM that runs.
+const TRIES: usize = 12;
+
+struct Soak {
+    system: SteeringSystem,
+    rng: SmallRng,
+    /// Invariant: each flow with the name of its backend server.
+    flows: Vec<(Flow, String)>,
+    /// The VMs that a signal has stopped.
+    frozen: BTreeSet<usize>,
+    draining: Option<(usize, Instant)>,
+    version: u64,
+    port: u16,
+}
+
+impl Soak {
+    fn start(seed: u64) -> Soak {
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        let system = SteeringSystem::start(BINARY, &dir, VMS, BACKENDS);
+        Soak {
+            flows: system.open(1_000, FLOWS),
+            system,
+            rng: SmallRng::seed_from_u64(seed),
+            frozen: BTreeSet::new(),
+            draining: None,
+            version: 1,
+            port: 2_000,
+        }
+    }
+
+    fn vms(&self) -> usize {
+        self.system.vms.len()
+    }
+
+    fn signal(&self, at: usize, signal: Signal) {
+        if let Some(child) = &self.system.vms[at].child {
+            child.signal(signal);
+        }
+    }
+
+    /// One fault or change.
+    fn disturb(&mut self) {
+        let at = self.rng.random_range(0..self.vms());
+        match self.rng.random_range(0..8) {
+            0 => self.kill(at),
+            1 => self.stop(at),
+            2 if self.frozen.is_empty() => {
+                self.signal(at, Signal::Stop);
+                self.frozen.insert(at);
+            }
+            3 => self.thaw(),
+            4 => self.system.store.set_down(true),
+            5 => self.system.store.set_down(false),
+            6 => self.drain(),
+            _ => {
+                self.version += self.rng.random_range(1..5_u64);
+                self.system.configure(self.version, true);
+            }
+        }
+    }
+
+    fn thaw(&mut self) {
+        for at in std::mem::take(&mut self.frozen) {
+            self.signal(at, Signal::Continue);
+        }
+    }
+
+    fn kill(&mut self, at: usize) {
+        self.thaw();
+        self.signal(at, Signal::Kill);
+        self.system.run(at);
+    }
+
+    fn stop(&mut self, at: usize) {
+        self.thaw();
+        self.signal(at, Signal::Terminate);
+        self.ask_all();
+        if let Some(mut child) = self.system.vms[at].child.take() {
+            let status = child.wait(LIMIT).expect("a planned stop ends");
+            assert!(status.success(), "{status}");
+        }
+        self.system.run(at);
+    }
+
+    /// Drains a backend server, or takes the last drain back.
+    fn drain(&mut self) {
+        if let Some((at, _)) = self.draining.take() {
+            self.system.register(at, "ready");
+            return;
+        }
+        let at = self.rng.random_range(0..self.system.backends.len());
+        self.system.store.set_down(false);
+        self.system.register(at, "draining");
+        self.draining = Some((at, Instant::now()));
+    }
+
+    /// Sends data on every flow. Each must reach its own backend server.
+    fn ask_all(&mut self) {
+        let mut flows = std::mem::take(&mut self.flows);
+        for (flow, name) in &mut flows {
+            self.ask(flow, name);
+        }
+        self.flows = flows;
+    }
+
+    fn ask(&mut self, flow: &mut Flow, name: &str) {
+        for _ in 0..TRIES {
+            let at = self.rng.random_range(0..self.vms());
+            if self.frozen.contains(&at) {
+                continue;
+            }
+            match self.system.client.ask(self.system.vm(at), flow) {
+                Reply::Answer(from) => {
+                    assert_eq!(from, name, "a flow went to another backend server");
+                    return;
+                }
+                Reply::Reset => panic!("a flow of a live backend server was reset"),
+                Reply::Nothing => {}
+            }
+        }
+        panic!("a flow got no answer in {TRIES} tries");
+    }
+
+    /// Opens a flow. A drain that is in force keeps it off its backend server.
+    fn open(&mut self) {
+        self.port += 1;
+        let at = self.rng.random_range(0..self.vms());
+        if self.frozen.contains(&at) {
+            return;
+        }
+        let vm = self.system.vm(at);
+        let Some(mut flow) = self.system.client.connect(vm, self.port) else {
+            return;
+        };
+        let Reply::Answer(name) = self.system.client.ask(vm, &mut flow) else {
+            return;
+        };
+        if let Some((drained, since)) = self.draining {
+            let left = &self.system.backends[drained].name;
+            let is_in_force = since.elapsed() > IN_FORCE && self.frozen.is_empty();
+            assert!(
+                !is_in_force || name != *left,
+                "a drained backend server got a flow"
+            );
+        }
+        self.flows.push((flow, name));
+        self.flows.remove(0);
+    }
+
+    fn play(mut self) {
+        for _ in 0..ROUNDS {
+            self.disturb();
+            let pause = self.rng.random_range(0..150);
+            thread::sleep(Duration::from_millis(pause));
+            self.ask_all();
+            self.open();
+        }
+        self.thaw();
+        self.system.store.set_down(false);
+        self.ask_all();
+    }
+}
+
+fn seeds() -> Vec<u64> {
+    let number = |name: &str| {
+        env::var(name)
+            .ok()
+            .and_then(|text| text.parse::<u64>().ok())
+    };
+    if let Some(seed) = number("SOAK_SEED") {
+        return vec![seed];
+    }
+    let Some(n) = number("SOAK_SEEDS") else {
+        return FIXED_SEEDS.to_vec();
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let first = now.unwrap_or_default().as_secs();
+    (first..first + n).collect()
+}
+
+#[test]
+fn flows_outlast_whatever_happens_to_vms_and_store() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        Soak::start(seed).play();
+    }
+}
