Probe a data centre whose VMs all fall silent

Change: no VM of a data centre heard (0.8 s) counts as evidence beside a probe that fails. Test seen failing first.

--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -51,6 +51,7 @@
 use loads::RemoteLoads;
 use members::{
     HEARTBEAT_INTERVAL,
+    Member,
     Members, //
 };
 use packet::{
@@ -442,32 +443,45 @@
             evidence,
             flows,
         });
-        self.suspect_beside(tag, now);
+        self.review_place_of(tag, now);
         self.peers.hurry(now);
     }
 
     /// Several dead backend servers in one data centre may mean that it lost
-    /// power or is cut off. The others there are probed before clients run into
-    /// them.
-    fn suspect_beside(&mut self, tag: Tag, now: Time) {
-        let Some(place) = self.directory.entry(tag).map(|e| &e.server.data_centre) else {
+    /// power or is cut off.
+    fn review_place_of(&mut self, tag: Tag, now: Time) {
+        let Some(entry) = self.directory.entry(tag) else {
             return;
         };
-        let beside = |e: &directory::Entry| e.server.data_centre == *place && e.may_live();
-        let (dead, others): (Vec<Tag>, Vec<Tag>) = self
-            .directory
+        let place = entry.server.data_centre.clone();
+        let dead = self.backends_in(&place);
+        let dead = dead
             .iter()
-            .filter(|(_, e)| beside(e))
-            .map(|(tag, _)| tag)
-            .partition(|tag| self.suspicion.standing(*tag) == Standing::Dead);
-        if dead.len() < DEAD_TOGETHER {
-            return;
+            .filter(|t| self.suspicion.standing(**t) == Standing::Dead);
+        if dead.count() >= DEAD_TOGETHER {
+            self.doubt_place(&place, now);
         }
-        for other in others {
-            self.suspicion.suspect_beside(other, now);
+    }
+
+    /// Has the backend servers of a data centre probed before clients run into
+    /// them.
+    fn doubt_place(&mut self, place: &DataCentreId, now: Time) {
+        for tag in self.backends_in(place) {
+            if self.suspicion.standing(tag) != Standing::Dead {
+                self.suspicion.doubt_place(tag, now);
+            }
         }
     }
 
+    /// The backend servers of a data centre that may live.
+    fn backends_in(&self, place: &DataCentreId) -> Vec<Tag> {
+        self.directory
+            .iter()
+            .filter(|(_, e)| e.server.data_centre == *place && e.may_live())
+            .map(|(tag, _)| tag)
+            .collect()
+    }
+
     /// Tells the clients of a backend server that their flows are over. Returns
     /// the number of flows.
     fn reset_flows(&mut self, tag: Tag, reason: ResetReason, now: Time) -> usize {
@@ -479,6 +493,12 @@
                 reason,
             };
             self.actions.push(Action::Reset(reset));
+            self.decisions.push(Decision::FlowReset {
+                flow: *flow,
+                tag: Some(tag),
+                reason,
+                configuration: self.routing.revision(),
+            });
         }
         flows.len()
     }
@@ -487,6 +507,11 @@
         for lost in self.peers.take_lost(now) {
             self.remote.replace(&lost.loads, &[]);
             self.note_peer(false, &lost);
+            let is_beside = |m: &Member| m.heartbeat.data_centre == lost.data_centre;
+            if !self.peers.live(now).any(is_beside) {
+                // Its backend servers may be lost with its VMs.
+                self.doubt_place(&lost.data_centre, now);
+            }
         }
     }
 
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -76,8 +76,8 @@
     probe: Probe,
     /// Whether another VM says that the backend server is dead.
     reported: bool,
-    /// Whether backend servers beside it are dead.
-    beside_dead: bool,
+    /// Whether its whole data centre may be out of reach.
+    place_in_doubt: bool,
     dead: bool,
 }
 
@@ -167,11 +167,11 @@
         case.reported = !case.was_accepted_of_late(now);
     }
 
-    /// Notes that several backend servers beside this one are dead.
-    pub fn suspect_beside(&mut self, tag: Tag, now: Time) {
+    /// Notes that the data centre of a backend server may be out of reach.
+    pub fn doubt_place(&mut self, tag: Tag, now: Time) {
         let case = self.cases.entry(tag).or_default();
         case.last_evidence = now;
-        case.beside_dead = true;
+        case.place_in_doubt = true;
     }
 
     /// Notes what a probe found. Returns whether this shows that the backend
@@ -279,7 +279,7 @@
     }
 
     fn wants_probe(&self, now: Time) -> bool {
-        let has_reason = self.is_suspect() || self.beside_dead || self.is_unreachable();
+        let has_reason = self.is_suspect() || self.place_in_doubt || self.is_unreachable();
         if !has_reason {
             return false;
         }
@@ -299,11 +299,15 @@
             Probe::Answered {
                 outcome: ProbeOutcome::Refused,
                 ..
-            } => self.beside_dead || self.reported || !self.silent.is_empty(),
+            } => self.place_in_doubt || self.reported || !self.silent.is_empty(),
             Probe::Answered {
                 outcome: ProbeOutcome::TimedOut,
                 ..
-            } => self.beside_dead || self.is_silent() || (self.reported && !self.silent.is_empty()),
+            } => {
+                self.place_in_doubt
+                    || self.is_silent()
+                    || (self.reported && !self.silent.is_empty())
+            }
             _ => false,
         };
         self.dead
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -18,7 +18,7 @@
 };
 
 /// The most lines of one event in one window.
-const MAX_LINES: u32 = 50;
+const MAX_LINES: u32 = 200;
 
 /// The time over which lines are counted.
 const WINDOW: Millis = Millis::from_secs(1);
--- a/tests/steering_flows.rs
+++ b/tests/steering_flows.rs
@@ -337,3 +337,34 @@
     let late = world.packet(0, &opening(1_011, 0));
     assert_eq!(late, Verdict::Reset(ResetReason::NoBackend));
 }
+
+/// trouble-3 on trwsio-bookings: a data centre lost power with its VMs and
+/// backend servers; clients that the routers moved waited two more seconds.
+#[test]
+fn a_data_centre_whose_vms_fall_silent_is_probed_at_once() {
+    let mut world = World::start(&["a", "b"]);
+    world.configure(1, &[("web", 1)]);
+    let here = world.put_backend(&backend(1, "a"));
+    let there = world.put_backend(&backend(2, "b"));
+    world.run(Millis(1_000));
+    world.kill(1);
+    world.silent.insert((0, there));
+    world.run(Millis(1_400));
+    let moved = world.packet(0, &data(1_000, there, 101, 500));
+    assert_eq!(moved, Verdict::Reset(ResetReason::BackendDead));
+    let own = world.packet(0, &data(1_001, here, 101, 500));
+    assert_eq!(forwarded(own), here);
+}
+
+#[test]
+fn a_data_centre_whose_vms_alone_fall_silent_keeps_its_flows() {
+    let mut world = World::start(&["a", "b"]);
+    world.configure(1, &[("web", 1)]);
+    world.put_backend(&backend(1, "a"));
+    let there = world.put_backend(&backend(2, "b"));
+    world.run(Millis(1_000));
+    world.kill(1);
+    world.run(Millis(3_000));
+    let moved = world.packet(0, &data(1_000, there, 101, 500));
+    assert_eq!(forwarded(moved), there);
+}
