--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -300,7 +300,11 @@
 
     /// Returns what to read next of a kind.
     pub fn next_call(&mut self, kind: Kind, now: Time) -> Step {
-        let is_wanted = self.reads(kind, now);
+        // While the store is in trouble, the calls for one kind find out when it
+        // is over.
+        let is_spared = kind != Kind::Configuration
+            && !self.readers[Kind::Configuration as usize].was_answered();
+        let is_wanted = !is_spared && self.reads(kind, now);
         let known = self.beliefs.get(kind).revision;
         self.readers[kind as usize].next(is_wanted, known, now)
     }
@@ -321,7 +325,8 @@
             self.peers.hurry(now);
         }
         let as_of = as_of(call, &answer, sent, now);
-        let read = self.readers[kind as usize].on_answer(answer, now, &mut self.rng);
+        let longest = self.longest_pause(now);
+        let read = self.readers[kind as usize].on_answer(answer, longest, now, &mut self.rng);
         let Some((update, revision)) = read else {
             return;
         };
--- a/src/core/steering/reading.rs
+++ b/src/core/steering/reading.rs
@@ -33,11 +33,8 @@
     }
 }
 
-/// The pause after the first failure; it doubles with each further one.
-const FIRST_PAUSE: Millis = Millis(100);
-
-/// The longest pause between calls to a store in trouble.
-const LONGEST_PAUSE: Millis = Millis(800);
+/// How often the pause after a failure is doubled until it is the longest.
+const DOUBLINGS: u32 = 3;
 
 /// How often a VM that does not read looks whether it should.
 const IDLE_PAUSE: Millis = Millis(50);
@@ -159,10 +156,12 @@
         self.is_answered
     }
 
-    /// Takes in an answer. Returns what was read and as of which version.
+    /// Takes in an answer. Returns what was read and as of which version. After
+    /// failures no pause is longer than `longest`.
     pub fn on_answer(
         &mut self,
         answer: StoreAnswer,
+        longest: Millis,
         now: Time,
         rng: &mut SmallRng,
     ) -> Option<(Update, Revision)> {
@@ -192,7 +191,7 @@
             | StoreAnswer::Contacts(_)
             | StoreAnswer::Registered
             | StoreAnswer::OtherwiseThere => {
-                self.on_failure(now, rng);
+                self.on_failure(longest, now, rng);
                 None
             }
         }
@@ -228,12 +227,11 @@
 
     /// Tries again after a pause that grows and is spread so that the VMs do not
     /// call together.
-    fn on_failure(&mut self, now: Time, rng: &mut SmallRng) {
+    fn on_failure(&mut self, longest: Millis, now: Time, rng: &mut SmallRng) {
         if let State::Listing { may_be_old, .. } = self.state {
             self.state = State::from_start(may_be_old);
         }
-        let doubled = FIRST_PAUSE.0 << self.failures.min(4);
-        let pause = doubled.min(LONGEST_PAUSE.0);
+        let pause = longest.0 >> DOUBLINGS.saturating_sub(self.failures);
         self.failures += 1;
         self.pause_until = now + Millis(rng.random_range(pause / 2..=pause));
     }
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -198,6 +198,8 @@
     pub store: FakeStore,
     /// The VMs that the store does not answer.
     pub storeless: BTreeSet<usize>,
+    /// Whether the store refuses these at once instead of staying silent.
+    pub refuses: bool,
     /// The pairs of VMs that do not reach each other, lower number first.
     pub cuts: BTreeSet<(usize, usize)>,
     /// The backend servers that do not react, for a VM.
@@ -226,6 +228,7 @@
             now: Time(1_000),
             store: FakeStore::default(),
             storeless: BTreeSet::new(),
+            refuses: false,
             cuts: BTreeSet::new(),
             silent: BTreeSet::new(),
             resets: Vec::new(),
@@ -318,6 +321,7 @@
         if let Some(Calling { call, sent }) = machine.calling.get(&kind) {
             let waited = now.since(*sent);
             let answer = match is_storeless {
+                true if self.refuses => Some(StoreAnswer::Busy),
                 true if waited >= call.wait() + NO_ANSWER_AFTER => Some(StoreAnswer::NoAnswer),
                 true => None,
                 false => self.store.answer(call).or_else(|| {
--- a/tests/steering_knowledge.rs
+++ b/tests/steering_knowledge.rs
@@ -259,3 +259,49 @@
         prop_assert!(all_know(&world, newest));
     }
 }
+
+/// 39 VMs in three data centres, all of one strength.
+fn large() -> World {
+    let places: Vec<&str> = (0..39).map(|at| ["a", "b", "c"][at % 3]).collect();
+    let mut world = World::start(&places);
+    world.configure(1, &[("web", 1)]);
+    world.put_backend(&backend(1, "a"));
+    world.run(Millis(6_000));
+    world
+}
+
+#[test]
+fn a_large_fleet_makes_as_few_calls_as_a_small_one() {
+    let mut world = large();
+    let before = world.calls;
+    world.run(Millis(30_000));
+    let calls = world.calls - before;
+    assert!(calls <= 30 * 2, "{calls} calls in 30 s");
+}
+
+#[test]
+fn a_large_fleet_does_not_flood_a_store_that_is_away() {
+    /// Refused calls are counted by the platform as well.
+    const MOST_PER_SECOND: usize = 20;
+    for refuses in [false, true] {
+        let mut world = large();
+        world.storeless = (0..39).collect();
+        world.refuses = refuses;
+        let before = world.calls;
+        world.run(Millis(20_000));
+        let calls = world.calls - before;
+        assert!(calls <= 20 * MOST_PER_SECOND, "{calls} calls in 20 s");
+    }
+}
+
+#[test]
+fn a_change_reaches_a_large_fleet_whose_hubs_the_store_does_not_answer() {
+    let mut world = large();
+    // The first two VMs of each data centre by name.
+    world.storeless = (0..6).collect();
+    world.run(Millis(10));
+    world.configure(2, &[("web", 1)]);
+    world.run(Millis(5_000));
+    let behind: Vec<usize> = (0..39).filter(|vm| version(&world, *vm) != 2).collect();
+    assert!(behind.is_empty(), "{behind:?}");
+}
