Split readiness and evacuations off, count every flow of a cold start

A backend server in cold start that was also suspected, or missing in the list, got flows that the limit did not count. The limit now adds what the configuration says that it bears.

--- a/src/core/steering/cold.rs
+++ b/src/core/steering/cold.rs
@@ -41,11 +41,12 @@
 }
 
 impl ColdBudget {
-    /// Tells whether a backend server may get one more flow. `is_whole` tells
-    /// whether all VMs are heard that were there of late.
-    pub fn has_room(&self, tag: Tag, is_whole: bool, now: Time) -> bool {
+    /// Tells whether a backend server that bears `per_second` new flows may get
+    /// one more. `is_whole` tells whether all VMs are heard that were there of
+    /// late.
+    pub fn has_room(&self, tag: Tag, per_second: f64, is_whole: bool, now: Time) -> bool {
         let limit = match is_whole {
-            true => FLOWS_PER_WINDOW,
+            true => FLOWS_PER_WINDOW + per_second as usize,
             false => FLOWS_WHILE_APART,
         };
         let sent = self.sent.get(&tag);
@@ -59,7 +60,7 @@
     pub fn spend(&mut self, tag: Tag, now: Time) {
         let sent = self.sent.entry(tag).or_default();
         sent.push_back(now);
-        while sent.len() > FLOWS_PER_WINDOW {
+        while sent.front().is_some_and(|at| now.since(*at) >= WINDOW) {
             sent.pop_front();
         }
     }
--- a/src/core/steering/directory.rs
+++ b/src/core/steering/directory.rs
@@ -3,6 +3,7 @@
 use hashbrown::HashMap;
 
 use super::{
+    evacuations::Evacuations,
     store::{
         BackendServer,
         Change,
@@ -13,10 +14,7 @@
     tag::Tag,
 };
 use crate::{
-    core::names::{
-        DataCentreId,
-        ServiceId, //
-    },
+    core::names::ServiceId,
     kernel::clock::{
         Millis,
         Time, //
@@ -27,11 +25,6 @@
 /// when this VM read it.
 const COLD_MARGIN: Millis = Millis(400);
 
-/// How long a data centre that was returned counts as cold. Its backend servers
-/// may have started again while it was out, and their objects may be read later
-/// than the return.
-const RETURN_HOLD: Millis = Millis(2_500);
-
 /// How long a backend server whose object vanished during trouble of the store
 /// may take to write it again after the store's return.
 pub const REAPPEAR_TIME: Millis = Millis(2_500);
@@ -107,8 +100,8 @@
     entries: HashMap<Tag, Entry>,
     tags: HashMap<String, Tag>,
     pools: HashMap<ServiceId, Vec<Tag>>,
-    out: HashMap<DataCentreId, Revision>,
-    returned: HashMap<DataCentreId, Time>,
+    /// The data centres that were taken out.
+    pub evacuations: Evacuations,
     ended: Vec<Ended>,
     /// Removals up to this version may be forgotten.
     forgotten: Revision,
@@ -155,25 +148,22 @@
     /// Tells how far a backend server is from getting new flows.
     pub fn fitness(&self, entry: &Entry, now: Time) -> Fitness {
         let place = &entry.server.data_centre;
-        if entry.server.draining || self.out.contains_key(place) {
+        if entry.server.draining || self.evacuations.is_out(place) {
             return Fitness::Unfit;
         }
         match entry.presence {
             Presence::Gone { .. } => Fitness::Unfit,
+            Presence::Missing { .. } if now < entry.cold_until => Fitness::Unfit,
             Presence::Missing { .. } => Fitness::Missing,
-            Presence::Listed if now < entry.cold_until || self.is_returning(place, now) => {
+            Presence::Listed
+                if now < entry.cold_until || self.evacuations.is_returning(place, now) =>
+            {
                 Fitness::Cold
             }
             Presence::Listed => Fitness::Ready,
         }
     }
 
-    fn is_returning(&self, place: &DataCentreId, now: Time) -> bool {
-        self.returned
-            .get(place)
-            .is_some_and(|at| now.since(*at) < RETURN_HOLD)
-    }
-
     /// Takes the flows that ended since the last call.
     pub fn take_ended(&mut self) -> Vec<Ended> {
         std::mem::take(&mut self.ended)
@@ -307,48 +297,6 @@
         self.ended.push(Ended::Gone(tag));
     }
 
-    /// Takes in the data centres that are out as of `revision`.
-    pub fn replace_evacuations(&mut self, objects: &[Object], revision: Revision, now: Time) {
-        let out: HashMap<DataCentreId, Revision> = objects
-            .iter()
-            .filter_map(|o| Some((evacuated(o)?, o.revision)))
-            .collect();
-        let back: Vec<DataCentreId> = self
-            .out
-            .iter()
-            .filter(|(place, since)| **since <= revision && !out.contains_key(*place))
-            .map(|(place, _)| place.clone())
-            .collect();
-        for place in back {
-            self.put_back(&place, now);
-        }
-        self.out.extend(out);
-    }
-
-    /// Takes in one change of the data centres that are out.
-    pub fn change_evacuation(&mut self, change: &Change, now: Time) {
-        let place = DataCentreId::new(&change.object.name);
-        let known = self.out.get(&place).copied();
-        let revision = change.object.revision;
-        if !change.removed {
-            if known.is_none_or(|k| k < revision) {
-                self.out.insert(place, revision);
-            }
-        } else if known.is_some_and(|k| k <= revision) {
-            self.put_back(&place, now);
-        }
-    }
-
-    fn put_back(&mut self, place: &DataCentreId, now: Time) {
-        self.out.remove(place);
-        self.returned.insert(place.clone(), now);
-    }
-
-    /// Tells whether a data centre was taken out.
-    pub fn is_out(&self, place: &DataCentreId) -> bool {
-        self.out.contains_key(place)
-    }
-
     /// Notes what time brings: what was missing for too long is gone, and what
     /// is gone for long is forgotten. Missing backend servers wait longer while
     /// the store is in trouble.
@@ -400,16 +348,6 @@
         }
         exported
     }
-
-    /// Returns the data centres that are out as objects, for another VM.
-    pub fn export_evacuations(&self) -> Vec<Object> {
-        let object = |(place, revision): (&DataCentreId, &Revision)| Object {
-            name: place.as_str().to_owned(),
-            revision: *revision,
-            value: Some(Value::Evacuation(place.clone())),
-        };
-        self.out.iter().map(object).collect()
-    }
 }
 
 impl Entry {
@@ -437,10 +375,3 @@
     }
     now + server.cold_for + COLD_MARGIN
 }
-
-fn evacuated(object: &Object) -> Option<DataCentreId> {
-    match &object.value {
-        Some(Value::Evacuation(place)) => Some(place.clone()),
-        _ => None,
-    }
-}
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -167,7 +167,7 @@
         match kind {
             Kind::Configuration => objects.into_iter().for_each(|o| self.configure(o)),
             Kind::BackendServers => self.directory.replace(&objects, revision, gone_at, now),
-            Kind::Evacuations => self.directory.replace_evacuations(&objects, revision, now),
+            Kind::Evacuations => self.directory.evacuations.replace(&objects, revision, now),
         }
     }
 
@@ -178,7 +178,7 @@
                 Kind::Configuration if change.removed => {}
                 Kind::Configuration => self.configure(change.object),
                 Kind::BackendServers => self.directory.change(&change, gone_at, now),
-                Kind::Evacuations => self.directory.change_evacuation(&change, now),
+                Kind::Evacuations => self.directory.evacuations.change(&change, now),
             }
         }
     }
@@ -299,7 +299,7 @@
                 value: Some(Value::Configuration(self.routing.configuration().clone())),
             }]),
             Kind::BackendServers => self.directory.export(want.since, now),
-            Kind::Evacuations => Exported::whole(self.directory.export_evacuations()),
+            Kind::Evacuations => Exported::whole(self.directory.evacuations.export()),
         };
         SnapshotPart {
             kind: want.kind,
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -77,13 +77,6 @@
     seen: Time,
 }
 
-impl Flow {
-    /// When the first packet of the flow was seen here.
-    pub fn opened_at(&self) -> Time {
-        self.opened_at
-    }
-}
-
 /// The flows of this VM.
 #[derive(Debug, Default)]
 pub struct FlowTable {
@@ -112,11 +105,6 @@
         self.flows.is_empty()
     }
 
-    /// Finds a flow.
-    pub fn get(&self, id: &FlowId) -> Option<&Flow> {
-        self.flows.get(id)
-    }
-
     /// What the flows here ask of a backend server.
     pub fn load(&self, tag: Tag) -> Load {
         self.load.get(&tag).copied().unwrap_or_default()
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -18,6 +18,7 @@
 pub mod cold;
 pub mod decision;
 pub mod directory;
+pub mod evacuations;
 pub mod flows;
 pub mod loads;
 pub mod members;
@@ -33,6 +34,7 @@
 
 mod beliefs;
 mod exchange;
+pub mod readiness;
 mod steer;
 
 use answers::AnswerTimes;
@@ -63,6 +65,7 @@
     Heartbeat,
     Want, //
 };
+use readiness::Readiness;
 use reading::{
     Reader,
     Step, //
@@ -161,44 +164,6 @@
 /// Dead backend servers in one data centre that make the others there suspect.
 const DEAD_TOGETHER: usize = 2;
 
-/// How long a VM must be unable to place flows before it says so.
-const UNREADY_AFTER: Millis = Millis(300);
-
-/// How long the routers may take to notice that a VM is no longer ready.
-pub const NOTICE_TIME: Millis = Millis(1_500);
-
-/// Whether this VM serves new flows.
-#[derive(Clone, Copy, Debug, Default)]
-struct Readiness {
-    is_ready: bool,
-    /// Since when it cannot.
-    failing: Option<Time>,
-}
-
-impl Readiness {
-    /// Tells whether the routers may soon send clients to other VMs.
-    fn is_handing_over(&self, now: Time) -> bool {
-        self.failing
-            .is_some_and(|since| now.since(since) < UNREADY_AFTER + NOTICE_TIME)
-    }
-
-    /// Takes in whether the VM can serve new flows now. Returns whether this
-    /// changed its readiness.
-    fn review(&mut self, can_serve: bool, now: Time) -> bool {
-        if can_serve {
-            self.failing = None;
-        } else {
-            self.failing.get_or_insert(now);
-        }
-        let was_ready = self.is_ready;
-        self.is_ready = match self.failing {
-            None => true,
-            Some(since) => was_ready && now.since(since) < UNREADY_AFTER,
-        };
-        was_ready != self.is_ready
-    }
-}
-
 /// Figures of one VM.
 #[derive(Clone, Copy, Debug)]
 pub struct Stats {
--- a/src/core/steering/placing.rs
+++ b/src/core/steering/placing.rs
@@ -64,6 +64,9 @@
     pub cold: &'a ColdBudget,
     /// The name of this VM.
     pub me: &'a VmId,
+    /// The new flows a second that a backend server of the service bears in cold
+    /// start.
+    pub cold_flows_per_second: f64,
     /// Whether this VM hears all that may be the first to warm a backend server.
     pub may_be_first: bool,
     /// Whether all VMs are heard that were there of late.
@@ -135,7 +138,8 @@
         }
         match self.suspicion.standing(tag) {
             Standing::Trusted => fitness,
-            // Better than a cold start, which bears a limited number of flows.
+            // Nobody counts what else it gets.
+            Standing::Suspected if fitness == Fitness::Cold => Fitness::Unfit,
             Standing::Suspected => fitness.max(Fitness::Missing),
             Standing::Unreachable | Standing::Dead => Fitness::Unfit,
         }
@@ -148,7 +152,12 @@
             return false;
         }
         let others = self.others.iter().copied();
-        self.cold.has_room(tag, self.is_whole, self.now) && cold::is_first(tag, self.me, others)
+        self.has_cold_room(tag) && cold::is_first(tag, self.me, others)
+    }
+
+    fn has_cold_room(&self, tag: Tag) -> bool {
+        let per_second = self.cold_flows_per_second;
+        self.cold.has_room(tag, per_second, self.is_whole, self.now)
     }
 
     /// Work for each slot, the new flow included.
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -138,6 +138,10 @@
         let place = Place {
             cold: &self.cold,
             me: &self.me.vm,
+            cold_flows_per_second: self
+                .routing
+                .service(service)
+                .map_or(0.0, |s| s.cold_flows_per_second),
             may_be_first: self.peers.is_hub() && now.since(self.opened) >= LISTEN_FOR,
             is_whole: self.peers.is_whole(now),
             others: &others,
--- a/src/edge/steering/node.rs
+++ b/src/edge/steering/node.rs
@@ -35,9 +35,9 @@
         steering::{
             Action,
             Identity,
-            NOTICE_TIME,
             Steering,
             TICK,
+            readiness::NOTICE_TIME,
             store::Kind, //
         },
     },
