--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -25,6 +25,7 @@
 pub mod packet;
 pub mod peers;
 pub mod placing;
+pub mod readiness;
 pub mod reading;
 pub mod registration;
 pub mod routing;
@@ -34,7 +35,6 @@
 
 mod beliefs;
 mod exchange;
-pub mod readiness;
 mod steer;
 
 use answers::AnswerTimes;
--- a/src/edge/steering/ready.rs
+++ b/src/edge/steering/ready.rs
@@ -39,7 +39,6 @@
 /// Fails if the address cannot be bound.
 pub async fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) -> io::Result<()> {
     let probes = TcpListener::bind(node.settings.ready).await?;
-    let metrics = TcpListener::bind(node.settings.metrics).await?;
     let answering = Rc::clone(node);
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
@@ -55,7 +54,17 @@
         .map_err(|()| io::Error::other("the readiness service did not start"))?;
     let service = Rc::new(service);
     actix_rt::spawn(accept(probes, Rc::clone(&service)));
-    actix_rt::spawn(accept(metrics, service));
+    // A VM that cannot show metrics steers all the same.
+    match TcpListener::bind(node.settings.metrics).await {
+        Ok(metrics) => {
+            actix_rt::spawn(accept(metrics, service));
+        }
+        Err(e) => tracing::error!(
+            address = %node.settings.metrics,
+            error = %e,
+            "the metrics cannot be shown; choose another [listen] metrics"
+        ),
+    }
     Ok(())
 }
 
--- a/src/settings/steering.rs
+++ b/src/settings/steering.rs
@@ -41,7 +41,7 @@
 
 const SEEDS_REMEDY: &str = "IPv4:PORT,IPv4:PORT,..";
 
-const STOP_REMEDY: &str = "seconds between 2 and 3600";
+const STOP_REMEDY: &str = "seconds between 0.1 and 3600";
 
 const CORES_REMEDY: &str = "a number above 0 and up to 1024, such as 0.25";
 
@@ -148,7 +148,7 @@
 
 fn parse_seconds(text: &str) -> Option<Millis> {
     let seconds: f64 = text.parse().ok()?;
-    (2.0..=3_600.0)
+    (0.1..=3_600.0)
         .contains(&seconds)
         .then_some(Millis((seconds * 1_000.0) as u64))
 }
