Work out what only cold starts need for cold starts only

Read again as a whole: each placement gathered the names of all VMs heard, each tick counted all backend servers, each heartbeat was copied to name its sender, and one predicate on answers stood twice. Behaviour is meant to stay.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -226,10 +226,10 @@
         }
         let (from, loads) = (heartbeat.address, heartbeat.loads.clone());
         let wanted = self.compare(&heartbeat.beliefs, now);
-        let sender = heartbeat.clone();
+        let sender = heartbeat.contact();
         let before = self.peers.hear(heartbeat, now);
         if before.is_none() && from != self.me.address {
-            self.note_peer(true, &sender);
+            self.note_peer(true, sender);
         }
         let before = before.map_or(Vec::new(), |h| h.loads);
         self.remote.replace(&before, &loads);
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -62,7 +62,6 @@
 };
 use peers::{
     Contact,
-    Heartbeat,
     Want, //
 };
 use readiness::Readiness;
@@ -279,7 +278,7 @@
         let Some(kind) = call.kind() else {
             return;
         };
-        let answers = !matches!(answer, StoreAnswer::Busy | StoreAnswer::NoAnswer);
+        let answers = answer.is_answered();
         if !answers {
             self.beliefs.note_trouble(now);
         }
@@ -366,7 +365,7 @@
             is_ready: self.is_ready(),
             flows: self.flows.len(),
             waiting: self.flows.waiting(),
-            backends: self.count_fit(now),
+            backends: self.fit(now).count(),
             dead: self.suspicion.dead().count(),
             peers: self.peers.live(now).count(),
             version: self.routing.configuration().version,
@@ -478,7 +477,7 @@
     fn forget_lost(&mut self, now: Time) {
         for lost in self.peers.take_lost(now) {
             self.remote.replace(&lost.loads, &[]);
-            self.note_peer(false, &lost);
+            self.note_peer(false, lost.contact());
             let is_beside = |m: &Member| m.heartbeat.data_centre == lost.data_centre;
             if !self.peers.live(now).any(is_beside) {
                 // Its backend servers may be lost with its VMs.
@@ -487,11 +486,11 @@
         }
     }
 
-    fn note_peer(&mut self, is_heard: bool, peer: &Heartbeat) {
+    fn note_peer(&mut self, is_heard: bool, peer: Contact) {
         self.decisions.push(Decision::PeerHeard {
             is_heard,
-            vm: peer.vm.clone(),
-            data_centre: peer.data_centre.clone(),
+            vm: peer.vm,
+            data_centre: peer.data_centre,
             address: peer.address,
         });
     }
@@ -499,22 +498,23 @@
     /// A VM that can place no flow at all says so, and the routers send its
     /// clients to VMs that may.
     fn review_readiness(&mut self, now: Time) {
-        let backends = self.count_fit(now);
-        let can_serve = self.is_informed() && (backends > 0 || self.knows_no_backend());
+        let has_fit = self.fit(now).next().is_some();
+        let can_serve = self.is_informed() && (has_fit || self.knows_no_backend());
         if self.readiness.review(can_serve, now) {
             let is_ready = self.readiness.is_ready;
+            let backends = self.fit(now).count();
             self.decisions
                 .push(Decision::Readiness { is_ready, backends });
         }
     }
 
-    /// The number of backend servers that may get new flows.
-    fn count_fit(&self, now: Time) -> usize {
+    /// The backend servers that may get new flows.
+    fn fit(&self, now: Time) -> impl Iterator<Item = Tag> {
         self.directory
             .iter()
-            .filter(|(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
-            .filter(|(tag, _)| self.suspicion.standing(*tag) < Standing::Unreachable)
-            .count()
+            .filter(move |(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
+            .map(|(tag, _)| tag)
+            .filter(|tag| self.suspicion.standing(*tag) < Standing::Unreachable)
     }
 
     /// Tells whether there is no backend server anywhere, which no other VM can
--- a/src/core/steering/placing.rs
+++ b/src/core/steering/placing.rs
@@ -14,10 +14,12 @@
 use smallvec::SmallVec;
 
 use super::{
+    Identity,
     answers::AnswerTimes,
     cold::{
         self,
-        ColdBudget, //
+        ColdBudget,
+        LISTEN_FOR, //
     },
     directory::{
         Directory,
@@ -26,20 +28,15 @@
     },
     flows::FlowTable,
     loads::RemoteLoads,
+    members::Members,
+    routing::Routing,
     suspicion::{
         Standing,
         Suspicion, //
     },
     tag::Tag,
 };
-use crate::{
-    core::names::{
-        DataCentreId,
-        ServiceId,
-        VmId, //
-    },
-    kernel::clock::Time,
-};
+use crate::{core::names::ServiceId, kernel::clock::Time};
 
 /// How much busier the own data centre may be before new flows go elsewhere.
 const SPILL_RATIO: f64 = 2.0;
@@ -52,6 +49,14 @@
 
 /// What placing reads.
 pub struct Place<'a> {
+    /// This VM, which stands in the data centre of its clients.
+    pub me: &'a Identity,
+    /// When this VM started.
+    pub opened: Time,
+    /// The other VMs.
+    pub peers: &'a Members,
+    /// The routes and services.
+    pub routing: &'a Routing,
     /// The backend servers.
     pub directory: &'a Directory,
     /// The flows of this VM.
@@ -62,21 +67,8 @@
     pub answers: &'a AnswerTimes,
     /// The new flows that backend servers in cold start got.
     pub cold: &'a ColdBudget,
-    /// The name of this VM.
-    pub me: &'a VmId,
-    /// The new flows a second that a backend server of the service bears in cold
-    /// start.
-    pub cold_flows_per_second: f64,
-    /// Whether this VM hears all that may be the first to warm a backend server.
-    pub may_be_first: bool,
-    /// Whether all VMs are heard that were there of late.
-    pub is_whole: bool,
-    /// The names of the other VMs that are heard.
-    pub others: &'a [&'a VmId],
     /// The evidence against backend servers.
     pub suspicion: &'a Suspicion,
-    /// The data centre of this VM and of its clients.
-    pub home: &'a DataCentreId,
     /// The time.
     pub now: Time,
 }
@@ -126,14 +118,14 @@
         (fitness < Fitness::Unfit).then(|| Candidate {
             tag,
             fitness,
-            is_home: entry.server.data_centre == *self.home,
+            is_home: entry.server.data_centre == self.me.data_centre,
             load: self.load(tag, entry) * slowness,
         })
     }
 
     fn fitness(&self, tag: Tag, entry: &Entry) -> Fitness {
         let fitness = self.directory.fitness(entry, self.now);
-        if fitness == Fitness::Cold && !self.may_warm(tag) {
+        if fitness == Fitness::Cold && !self.may_warm(tag, &entry.server.service) {
             return Fitness::Unfit;
         }
         match self.suspicion.standing(tag) {
@@ -147,17 +139,20 @@
 
     /// Tells whether this VM may send a flow to a backend server in cold start.
     /// Only a VM that hears all that may be first can know.
-    fn may_warm(&self, tag: Tag) -> bool {
-        if !self.may_be_first {
+    fn may_warm(&self, tag: Tag, service: &ServiceId) -> bool {
+        let has_listened = self.now.since(self.opened) >= LISTEN_FOR;
+        if !has_listened || !self.peers.is_hub() {
             return false;
         }
-        let others = self.others.iter().copied();
-        self.has_cold_room(tag) && cold::is_first(tag, self.me, others)
+        let others = self.peers.live(self.now).map(|m| &m.heartbeat.vm);
+        self.has_cold_room(tag, service) && cold::is_first(tag, &self.me.vm, others)
     }
 
-    fn has_cold_room(&self, tag: Tag) -> bool {
-        let per_second = self.cold_flows_per_second;
-        self.cold.has_room(tag, per_second, self.is_whole, self.now)
+    fn has_cold_room(&self, tag: Tag, service: &ServiceId) -> bool {
+        let service = self.routing.service(service);
+        let per_second = service.map_or(0.0, |s| s.cold_flows_per_second);
+        let is_whole = self.peers.is_whole(self.now);
+        self.cold.has_room(tag, per_second, is_whole, self.now)
     }
 
     /// Work for each slot, the new flow included.
--- a/src/core/steering/reading.rs
+++ b/src/core/steering/reading.rs
@@ -165,7 +165,7 @@
         now: Time,
         rng: &mut SmallRng,
     ) -> Option<(Update, Revision)> {
-        self.is_answered = !matches!(answer, StoreAnswer::Busy | StoreAnswer::NoAnswer);
+        self.is_answered = answer.is_answered();
         match answer {
             StoreAnswer::Page {
                 objects,
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -4,7 +4,6 @@
 
 use super::{
     Steering,
-    cold::LISTEN_FOR,
     decision::Decision,
     directory::{
         Entry,
@@ -25,10 +24,7 @@
     tag::Tag, //
 };
 use crate::{
-    core::names::{
-        ServiceId,
-        VmId, //
-    },
+    core::names::ServiceId,
     kernel::clock::Time, //
 };
 
@@ -134,23 +130,17 @@
         offered: &[Tag],
         now: Time,
     ) -> Option<(Tag, Fitness)> {
-        let others: SmallVec<[&VmId; 32]> = self.peers.live(now).map(|m| &m.heartbeat.vm).collect();
         let place = Place {
-            cold: &self.cold,
-            me: &self.me.vm,
-            cold_flows_per_second: self
-                .routing
-                .service(service)
-                .map_or(0.0, |s| s.cold_flows_per_second),
-            may_be_first: self.peers.is_hub() && now.since(self.opened) >= LISTEN_FOR,
-            is_whole: self.peers.is_whole(now),
-            others: &others,
+            me: &self.me,
+            opened: self.opened,
+            peers: &self.peers,
+            routing: &self.routing,
             directory: &self.directory,
             flows: &self.flows,
             remote: &self.remote,
             answers: &self.answers,
+            cold: &self.cold,
             suspicion: &self.suspicion,
-            home: &self.me.data_centre,
             now,
         };
         place.choose(service, offered, &mut self.rng)
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -260,3 +260,10 @@
     /// No answer that can be relied on.
     NoAnswer,
 }
+
+impl StoreAnswer {
+    /// Tells whether the store answered, rather than being in trouble.
+    pub fn is_answered(&self) -> bool {
+        !matches!(self, StoreAnswer::Busy | StoreAnswer::NoAnswer)
+    }
+}
