Keep replicas of flows at a VM of another data centre

Cause: when a data centre loses power, its VMs and backend servers are lost together, and nobody else knows the flows that rest there. A client that waits says nothing until its deadline, and a request that is not idempotent, sent on such a flow later, fails when it is reset on arrival.

Ruled out: resetting by the own evidence against the backend servers alone.

Change: each VM tells one VM of another data centre, chosen by weighted rendezvous, about its flows; a VM that starts again gets them back.

--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -96,4 +96,5 @@
     7012 PeerFound Info "Another VM was heard.";
     7013 PeerSilent Warn "Another VM is no longer heard.";
     7014 LinesSuppressed Info "Lines of one event were left out in the last second.";
+    7015 DataCentreTakenOver Warn "The routers send the clients of a data centre to others.";
 }
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -119,6 +119,14 @@
         /// The number of backend servers that take new flows.
         backends: usize,
     },
+    /// The routers send the clients of a data centre to others, because none of
+    /// its VMs answers them.
+    TakenOver {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// The replicas of flows that this VM keeps.
+        replicas: usize,
+    },
     /// The store stopped answering this VM, or answers again.
     StoreAnswers {
         /// Whether it does.
@@ -152,6 +160,7 @@
             Decision::Learnt { .. } => Notice::Learnt,
             Decision::Readiness { is_ready: true, .. } => Notice::Ready,
             Decision::Readiness { .. } => Notice::NotReady,
+            Decision::TakenOver { .. } => Notice::DataCentreTakenOver,
             Decision::StoreAnswers { answers: true, .. } => Notice::StoreRegained,
             Decision::StoreAnswers { .. } => Notice::StoreLost,
             Decision::PeerHeard { is_heard: true, .. } => Notice::PeerFound,
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -209,6 +209,7 @@
             trouble_age: self.beliefs.trouble().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
             dead: self.suspicion.dead().collect(),
+            taken_over: self.taken_over.export(),
             contacts: self.peers.some_contacts(now, &mut self.rng),
         }
     }
@@ -224,6 +225,9 @@
         for tag in &heartbeat.dead {
             self.suspicion.report(*tag, now);
         }
+        for place in &heartbeat.taken_over {
+            self.note_taken_over(place, false, now);
+        }
         let (from, loads) = (heartbeat.address, heartbeat.loads.clone());
         let wanted = self.compare(&heartbeat.beliefs, now);
         let sender = heartbeat.contact();
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -8,10 +8,15 @@
 use smallvec::SmallVec;
 
 use super::{
+    flow_changes::{
+        FlowChanges,
+        Told, //
+    },
     packet::{
         FlowId,
         Packet, //
     },
+    peers::FlowRecord,
     tag::Tag,
 };
 use crate::kernel::clock::{
@@ -66,8 +71,9 @@
     offered: SmallVec<[Tag; 3]>,
     /// How many copies of the opening packet the client had sent.
     copies: u32,
-    /// The number behind the last byte that the client has sent.
-    sent: u32,
+    /// The number behind the last byte that the client has sent. `None` if no
+    /// packet was seen.
+    sent: Option<u32>,
     repeats: u8,
     /// When the data that wait for an answer were first sent on.
     asked: Time,
@@ -75,6 +81,8 @@
     sent_on: Time,
     opened_at: Time,
     seen: Time,
+    /// What the VM with the replica was told.
+    told: Told,
 }
 
 /// The flows of this VM.
@@ -83,6 +91,7 @@
     /// Invariant: at most [`MAX_FLOWS`].
     flows: HashMap<FlowId, Flow>,
     load: HashMap<Tag, Load>,
+    changes: FlowChanges,
 }
 
 /// What the flows of this VM ask of one backend server.
@@ -173,6 +182,9 @@
         let was_waiting = flow.is_waiting;
         let sign = flow.observe(packet, now);
         let is_waiting = flow.is_waiting;
+        if flow.told.is_outdated(tag, flow.ack, now) {
+            self.changes.note(packet.flow, &mut flow.told);
+        }
         self.note_waiting(tag, was_waiting, is_waiting);
         if closes {
             self.remove(&packet.flow);
@@ -180,6 +192,61 @@
         sign
     }
 
+    /// Takes in a flow that this VM carried in an earlier run.
+    pub fn restore(&mut self, record: &FlowRecord, now: Time) {
+        let Some(tag) = record.tag else {
+            return;
+        };
+        if self.flows.len() < MAX_FLOWS && !self.flows.contains_key(&record.flow) {
+            self.insert(record.flow, Flow::restored(tag, record.ack, now));
+        }
+    }
+
+    /// Returns what has changed of at most `most` flows since it was last told.
+    pub fn take_changes(&mut self, most: usize, now: Time) -> Vec<FlowRecord> {
+        let ids = self.changes.take(most);
+        ids.iter().map(|id| self.record(id, now)).collect()
+    }
+
+    /// Has a flow told once more.
+    pub fn tell_again(&mut self, id: &FlowId) {
+        match self.flows.get_mut(id) {
+            Some(flow) => self.changes.note(*id, &mut flow.told),
+            None => self.changes.note_end(*id),
+        }
+    }
+
+    /// Has all open flows told once more.
+    pub fn tell_all_again(&mut self) {
+        self.changes.clear();
+        for (id, flow) in self.flows.iter_mut().filter(|(_, f)| f.is_open) {
+            flow.told = Told::default();
+            self.changes.note(*id, &mut flow.told);
+        }
+    }
+
+    /// Forgets what has changed, while nobody keeps replicas.
+    pub fn forget_changes(&mut self) {
+        self.changes.clear();
+    }
+
+    fn record(&mut self, id: &FlowId, now: Time) -> FlowRecord {
+        let open = self.flows.get_mut(id).filter(|f| f.is_open);
+        let Some(flow) = open else {
+            return FlowRecord {
+                flow: *id,
+                tag: None,
+                ack: 0,
+            };
+        };
+        flow.told = Told::now(flow.tag, flow.ack, now);
+        FlowRecord {
+            flow: *id,
+            tag: Some(flow.tag),
+            ack: flow.ack,
+        }
+    }
+
     /// Removes the flows of a backend server that were there before `before`
     /// and returns them with the number of the byte that each client expects.
     pub fn take_of(&mut self, tag: Tag, before: Time) -> Vec<(FlowId, u32)> {
@@ -199,6 +266,9 @@
     pub fn remove(&mut self, id: &FlowId) {
         if let Some(flow) = self.flows.remove(id) {
             self.unload(flow.tag, flow.is_waiting);
+            if flow.told.is_known() {
+                self.changes.note_end(*id);
+            }
         }
     }
 
@@ -215,8 +285,11 @@
         }
     }
 
-    fn insert(&mut self, id: FlowId, flow: Flow) {
+    fn insert(&mut self, id: FlowId, mut flow: Flow) {
         self.add_load(flow.tag, flow.is_waiting);
+        if flow.is_open {
+            self.changes.note(id, &mut flow.told);
+        }
         self.flows.insert(id, flow);
     }
 
@@ -259,30 +332,41 @@
             is_waiting: true,
             offered: SmallVec::from_slice(&[tag]),
             copies: copy,
-            sent: packet.seq,
+            sent: Some(packet.seq),
             repeats: 0,
             asked: now,
             sent_on: now,
             opened_at: now,
             seen: now,
+            told: Told::default(),
         }
     }
 
     /// A flow that another VM carried before.
     fn joined(packet: &Packet, tag: Tag, now: Time) -> Flow {
+        Flow {
+            is_waiting: packet.len > 0,
+            sent: Some(packet.end()),
+            ..Flow::restored(tag, packet.ack, now)
+        }
+    }
+
+    /// An open flow of which no packet was seen.
+    fn restored(tag: Tag, ack: u32, now: Time) -> Flow {
         Flow {
             tag,
             is_open: true,
-            ack: packet.ack,
-            is_waiting: packet.len > 0,
+            ack,
+            is_waiting: false,
             offered: SmallVec::new(),
             copies: 0,
-            sent: packet.end(),
+            sent: None,
             repeats: 0,
             asked: now,
             sent_on: now,
             opened_at: now,
             seen: now,
+            told: Told::default(),
         }
     }
 
@@ -291,7 +375,7 @@
         let has_answer = !self.is_open || is_after(packet.ack, self.ack);
         if !self.is_open {
             self.is_open = true;
-            self.sent = packet.seq;
+            self.sent = Some(packet.seq);
             // The handshake shows how far away the client is, not how fast the
             // backend server works.
             self.is_waiting = false;
@@ -331,8 +415,8 @@
             return false;
         }
         let sent_on = std::mem::replace(&mut self.sent_on, now);
-        if is_after(packet.end(), self.sent) {
-            self.sent = packet.end();
+        if self.sent.is_none_or(|sent| is_after(packet.end(), sent)) {
+            self.sent = Some(packet.end());
             if !self.is_waiting {
                 self.asked = now;
             }
--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -20,6 +20,7 @@
     rngs::SmallRng,
     seq::IteratorRandom, //
 };
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::peers::{
     Contact,
@@ -190,6 +191,28 @@
         self.is_hub
     }
 
+    /// Chooses the VM that keeps replicas of this one's flows: one of another
+    /// data centre, the strong more often. A VM that should be heard has to be.
+    pub fn replica_holder(&self, avoid: Option<SocketAddrV4>, now: Time) -> Option<SocketAddrV4> {
+        let may_hold = |(address, known): &(&SocketAddrV4, &Known)| {
+            Some(**address) != avoid && (known.is_live(now) || !self.chosen.contains(*address))
+        };
+        let candidates = self.known.iter().filter(may_hold);
+        candidates
+            .filter_map(|(_, known)| known.contact.as_ref())
+            .filter(|c| c.data_centre != self.me.data_centre)
+            .max_by(|a, b| self.affinity(a).total_cmp(&self.affinity(b)))
+            .map(|c| c.address)
+    }
+
+    /// Orders VMs by weighted rendezvous hashing, so that few choices change
+    /// when VMs come and go.
+    fn affinity(&self, contact: &Contact) -> f64 {
+        let hash = xxh3_64_with_seed(contact.vm.as_str().as_bytes(), self.me.vm.hash64());
+        let unit = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        -f64::from(contact.strength) / unit.ln()
+    }
+
     /// Tells whether this VM wants to hear the one at `address`.
     pub fn wants(&self, address: SocketAddrV4) -> bool {
         self.chosen.contains(&address)
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -19,6 +19,7 @@
 pub mod decision;
 pub mod directory;
 pub mod evacuations;
+pub mod flow_changes;
 pub mod flows;
 pub mod loads;
 pub mod members;
@@ -28,6 +29,8 @@
 pub mod readiness;
 pub mod reading;
 pub mod registration;
+pub mod replicas;
+pub mod replication;
 pub mod routing;
 pub mod store;
 pub mod suspicion;
@@ -36,6 +39,7 @@
 mod beliefs;
 mod exchange;
 mod steer;
+mod takeover;
 
 use answers::AnswerTimes;
 use beliefs::Beliefs;
@@ -62,6 +66,7 @@
 };
 use peers::{
     Contact,
+    PeerMessage,
     Want, //
 };
 use readiness::Readiness;
@@ -73,6 +78,8 @@
     Registration,
     Situation, //
 };
+use replicas::Replicas;
+use replication::Replication;
 use routing::Routing;
 use store::{
     Kind,
@@ -85,6 +92,7 @@
     Suspicion, //
 };
 use tag::Tag;
+use takeover::TakenOver;
 
 use crate::{
     core::names::{
@@ -133,6 +141,7 @@
 
 /// Something to do.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(clippy::large_enum_variant, reason = "actions are few and short-lived")]
 pub enum Action {
     /// Tells a client that its flow is over.
     Reset(Reset),
@@ -141,6 +150,13 @@
         /// The receiver.
         to: SocketAddrV4,
     },
+    /// Sends another message to a VM.
+    Tell {
+        /// The receiver.
+        to: SocketAddrV4,
+        /// The message.
+        msg: PeerMessage,
+    },
     /// Connects to a backend server to see whether it accepts.
     Probe {
         /// The backend server.
@@ -176,6 +192,8 @@
     pub backends: usize,
     /// The backend servers that are held for dead.
     pub dead: usize,
+    /// The flows of other VMs that are known here.
+    pub replicas: usize,
     /// The other VMs that are heard.
     pub peers: usize,
     /// The operators' number of the configuration in force.
@@ -196,6 +214,11 @@
     cold: ColdBudget,
     answers: AnswerTimes,
     peers: Members,
+    /// The VM that keeps replicas of the flows of this one.
+    holder: Option<SocketAddrV4>,
+    replication: Replication,
+    replicas: Replicas,
+    taken_over: TakenOver,
     registration: Registration,
     remote: RemoteLoads,
     beliefs: Beliefs,
@@ -224,6 +247,10 @@
         Steering {
             opened: now,
             peers: Members::open(me.contact(), seeds),
+            holder: None,
+            replication: Replication::default(),
+            replicas: Replicas::default(),
+            taken_over: TakenOver::default(),
             registration: Registration::default(),
             me,
             routing: Routing::default(),
@@ -331,13 +358,17 @@
         self.end_flows(now);
         self.forget_lost(now);
         self.probe(now);
+        self.speak_for_lost(now);
         self.review_readiness(now);
+        self.replicate(now);
         for to in self.peers.take_due(now) {
             self.actions.push(Action::Heartbeat { to });
         }
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.flows.sweep(self.idle_timeout(), now);
+            self.replicas.sweep(self.idle_timeout(), now);
+            self.choose_holder(now);
             self.suspicion.sweep(now);
             self.cold.sweep(now);
             self.answers.sweep(now);
@@ -367,6 +398,7 @@
             waiting: self.flows.waiting(),
             backends: self.fit(now).count(),
             dead: self.suspicion.dead().count(),
+            replicas: self.replicas.len(),
             peers: self.peers.live(now).count(),
             version: self.routing.configuration().version,
             ages: Kind::ALL.map(|kind| self.beliefs.age(kind, now)),
--- a/src/core/steering/packet.rs
+++ b/src/core/steering/packet.rs
@@ -3,6 +3,10 @@
 use std::net::SocketAddrV4;
 
 use derive_more::Display;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use super::tag::{
     BackendKey,
@@ -10,7 +14,7 @@
 };
 
 /// The two ends of a flow, as its client sees them.
-#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
 #[display("{client}>{service}")]
 pub struct FlowId {
     /// The client's address and port.
@@ -94,6 +98,9 @@
     /// The backend server does not react any more.
     #[display("backend_dead")]
     BackendDead,
+    /// The VM that carried the flow is lost together with the backend server.
+    #[display("vm_and_backend_lost")]
+    VmAndBackendLost,
     /// No backend server of the service takes new flows.
     #[display("no_backend")]
     NoBackend,
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -8,6 +8,7 @@
 };
 
 use super::{
+    packet::FlowId,
     store::{
         Kind,
         Object,
@@ -35,6 +36,53 @@
     pub age: Millis,
 }
 
+/// A datagram from one VM to another.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// What VMs tell each other a few times a second.
+    Heartbeat(Heartbeat),
+    /// Records of flows, for the VM that keeps replicas of them.
+    Replicas(ReplicaBatch),
+    /// The batch with this number was taken.
+    ReplicasTaken {
+        /// The VM that took it.
+        holder: SocketAddrV4,
+        /// The number of the batch.
+        number: u64,
+    },
+    /// Replicas of an earlier run, for the VM that started again.
+    ReplicasReturned {
+        /// The flows that were open.
+        flows: Vec<FlowRecord>,
+    },
+}
+
+/// Records of flows that the sender carries.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaBatch {
+    /// Where the sender takes messages.
+    pub owner: SocketAddrV4,
+    /// The sender's run.
+    pub incarnation: Incarnation,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreId,
+    /// Grows with each batch. A batch that is sent again keeps its number.
+    pub number: u64,
+    /// What has changed of its flows.
+    pub flows: Vec<FlowRecord>,
+}
+
+/// What it takes to reset a flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct FlowRecord {
+    /// The flow.
+    pub flow: FlowId,
+    /// The backend server that holds it; `None` if the flow has ended.
+    pub tag: Option<Tag>,
+    /// The number of the next byte that the client expects.
+    pub ack: u32,
+}
+
 /// What VMs tell each other a few times a second.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -62,6 +110,8 @@
     pub loads: Vec<TagLoad>,
     /// The backend servers that it holds for dead.
     pub dead: Vec<Tag>,
+    /// The data centres whose clients the routers send to the sender's.
+    pub taken_over: Vec<DataCentreId>,
     /// Some of the VMs that it hears.
     pub contacts: Vec<Contact>,
 }
--- /dev/null
+++ b/src/core/steering/replicas.rs
@@ -0,0 +1,229 @@
+//! Replicas of the flows that VMs of other data centres carry.
+//!
+//! A client that waits for an answer sends nothing. If the VM that carried its
+//! flow is lost together with the backend server, as when a data centre loses
+//! power, only a VM with a replica can tell the client.
+//!
+//! A VM that does not hear a data centre cannot know whether that has lost power
+//! or is only cut off and goes on serving. The routers know: they send clients to
+//! another data centre only if no VM of their own answers. So replicas are used
+//! once their clients turn up here.
+
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+
+use hashbrown::HashMap;
+
+use super::{
+    flow_changes::REFRESH,
+    packet::FlowId,
+    peers::{
+        FlowRecord,
+        ReplicaBatch, //
+    },
+    tag::Tag,
+};
+use crate::{
+    core::names::{
+        DataCentreId,
+        Incarnation, //
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+
+/// The most replicas. Further ones are not kept.
+const MAX_REPLICAS: usize = 32_768;
+
+/// The clients of a VM that have to turn up here, at least.
+const MIN_CLIENTS: usize = 3;
+
+/// One client in this many of a VM has to turn up here.
+const CLIENT_SHARE: usize = 4;
+
+/// How long a client that turned up here counts.
+const TURNED_UP_FOR: Millis = Millis::from_secs(3);
+
+#[derive(Clone, Copy, Debug)]
+struct Replica {
+    tag: Tag,
+    ack: u32,
+    told: Time,
+}
+
+/// The replicas of one VM's flows.
+#[derive(Debug)]
+struct Owner {
+    incarnation: Incarnation,
+    data_centre: DataCentreId,
+    /// The last batch that was taken.
+    number: u64,
+    flows: HashMap<FlowId, Replica>,
+    /// The flows of each client.
+    ///
+    /// Invariant: the sum is the number of `flows`; none is zero.
+    clients: HashMap<Ipv4Addr, u32>,
+    /// The clients that turned up at this VM, and when.
+    turned_up: HashMap<Ipv4Addr, Time>,
+}
+
+/// The replicas that this VM keeps.
+#[derive(Debug, Default)]
+pub struct Replicas {
+    owners: HashMap<SocketAddrV4, Owner>,
+}
+
+impl Replicas {
+    /// The number of replicas.
+    pub fn len(&self) -> usize {
+        self.owners.values().map(|o| o.flows.len()).sum()
+    }
+
+    /// Tells whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.owners.values().all(|o| o.flows.is_empty())
+    }
+
+    /// Takes in a batch. If the VM has started again, returns what it carried
+    /// in its run before.
+    pub fn take(&mut self, batch: &ReplicaBatch, now: Time) -> Vec<FlowRecord> {
+        let room = MAX_REPLICAS.saturating_sub(self.len());
+        let owner = self
+            .owners
+            .entry(batch.owner)
+            .or_insert_with(|| Owner::open(batch));
+        if batch.incarnation < owner.incarnation {
+            return Vec::new();
+        }
+        let has_restarted = batch.incarnation > owner.incarnation;
+        if !has_restarted && batch.number <= owner.number {
+            return Vec::new();
+        }
+        let carried = match has_restarted {
+            true => owner.records(),
+            false => Vec::new(),
+        };
+        owner.incarnation = batch.incarnation;
+        owner.number = batch.number;
+        for record in &batch.flows {
+            owner.note(record, room, now);
+        }
+        carried
+    }
+
+    /// Notes that the routers sent a client here. Returns the data centre of the
+    /// client if that shows that it has no VM left.
+    pub fn turn_up(&mut self, client: Ipv4Addr, now: Time) -> Option<DataCentreId> {
+        self.owners
+            .values_mut()
+            .find_map(|owner| owner.turn_up(client, now))
+    }
+
+    /// Removes and returns the flows of VMs in a data centre `is_left` that
+    /// `is_over` says are over.
+    pub fn take_over(
+        &mut self,
+        is_left: impl Fn(&DataCentreId) -> bool,
+        is_over: impl Fn(Tag) -> bool,
+    ) -> Vec<FlowRecord> {
+        let mut taken = Vec::new();
+        let left = self.owners.values_mut();
+        for owner in left.filter(|o| is_left(&o.data_centre)) {
+            let over = owner.records().into_iter();
+            for record in over.filter(|r| r.tag.is_some_and(&is_over)) {
+                owner.remove(&record.flow);
+                taken.push(record);
+            }
+        }
+        taken
+    }
+
+    /// Forgets the flows that rested for longer than `idle_timeout`.
+    pub fn sweep(&mut self, idle_timeout: Millis, now: Time) {
+        for owner in self.owners.values_mut() {
+            owner.sweep(idle_timeout + REFRESH, now);
+        }
+        self.owners.retain(|_, owner| !owner.flows.is_empty());
+    }
+}
+
+impl Owner {
+    fn open(batch: &ReplicaBatch) -> Owner {
+        Owner {
+            incarnation: batch.incarnation,
+            data_centre: batch.data_centre.clone(),
+            number: 0,
+            flows: HashMap::new(),
+            clients: HashMap::new(),
+            turned_up: HashMap::new(),
+        }
+    }
+
+    fn note(&mut self, record: &FlowRecord, room: usize, now: Time) {
+        let Some(tag) = record.tag else {
+            self.remove(&record.flow);
+            return;
+        };
+        let replica = Replica {
+            tag,
+            ack: record.ack,
+            told: now,
+        };
+        if let Some(known) = self.flows.get_mut(&record.flow) {
+            *known = replica;
+        } else if room > 0 {
+            self.flows.insert(record.flow, replica);
+            *self.clients.entry(*record.flow.client.ip()).or_default() += 1;
+        }
+    }
+
+    fn remove(&mut self, flow: &FlowId) {
+        if self.flows.remove(flow).is_none() {
+            return;
+        }
+        let client = *flow.client.ip();
+        let Some(flows) = self.clients.get_mut(&client) else {
+            return;
+        };
+        *flows -= 1;
+        if *flows == 0 {
+            self.clients.remove(&client);
+        }
+    }
+
+    fn records(&self) -> Vec<FlowRecord> {
+        let record = |(flow, replica): (&FlowId, &Replica)| FlowRecord {
+            flow: *flow,
+            tag: Some(replica.tag),
+            ack: replica.ack,
+        };
+        self.flows.iter().map(record).collect()
+    }
+
+    fn turn_up(&mut self, client: Ipv4Addr, now: Time) -> Option<DataCentreId> {
+        if !self.clients.contains_key(&client) {
+            return None;
+        }
+        self.turned_up.insert(client, now);
+        self.turned_up
+            .retain(|_, at| now.since(*at) < TURNED_UP_FOR);
+        let enough = MIN_CLIENTS.max(self.clients.len() / CLIENT_SHARE);
+        (self.turned_up.len() >= enough).then(|| self.data_centre.clone())
+    }
+
+    fn sweep(&mut self, lifetime: Millis, now: Time) {
+        let old: Vec<FlowId> = self
+            .flows
+            .iter()
+            .filter(|(_, r)| now.since(r.told) > lifetime)
+            .map(|(flow, _)| *flow)
+            .collect();
+        for flow in old {
+            self.remove(&flow);
+        }
+    }
+}
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -124,6 +124,10 @@
             line!(decision, %kind, revision = revision.0, version, %source, age_ms = age.0);
         }
         Decision::Readiness { is_ready, backends } => line!(decision, is_ready, backends),
+        Decision::TakenOver {
+            data_centre,
+            replicas,
+        } => line!(decision, %data_centre, replicas),
         Decision::StoreAnswers { answers, kind } => line!(decision, answers, %kind),
         Decision::PeerHeard {
             is_heard,
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -215,6 +215,11 @@
             "Backend servers held for dead",
             stats.dead as u64,
         ),
+        (
+            "replicas",
+            "Flows of other VMs that are known here",
+            stats.replicas as u64,
+        ),
         ("peers", "Other VMs that are heard", stats.peers as u64),
         (
             "configuration_version",
--- a/src/edge/steering/node.rs
+++ b/src/edge/steering/node.rs
@@ -152,6 +152,7 @@
             match action {
                 Action::Reset(reset) => packets::send_reset(self, &reset),
                 Action::Heartbeat { to } => peers::send_heartbeat(self, to),
+                Action::Tell { to, msg } => peers::send(self, to, &msg),
                 Action::Probe { tag, address } => probes::spawn(self, tag, address),
                 Action::Pull { from, wants } => peers::pull(self, from, wants),
             }
--- a/src/edge/steering/peers.rs
+++ b/src/edge/steering/peers.rs
@@ -1,4 +1,5 @@
-//! Other VMs: heartbeats over UDP, snapshots of what a VM knows over TCP.
+//! Other VMs: heartbeats and replicas over UDP, snapshots of what a VM knows over
+//! TCP.
 
 use std::{
     io,
@@ -27,17 +28,15 @@
     format::PlatformFormat,
     node::Node, //
 };
-use crate::core::steering::{
-    peers::{
-        Heartbeat,
-        Snapshot,
-        SnapshotRequest,
-        Want, //
-    }, //
+use crate::core::steering::peers::{
+    PeerMessage,
+    Snapshot,
+    SnapshotRequest,
+    Want, //
 };
 
-/// The largest heartbeat in bytes.
-const MAX_HEARTBEAT: usize = 16_384;
+/// The largest datagram in bytes.
+const MAX_DATAGRAM: usize = 16_384;
 
 /// The largest message over TCP in bytes.
 const MAX_MESSAGE: u32 = 4 << 20;
@@ -58,22 +57,24 @@
 }
 
 async fn listen<F: PlatformFormat + 'static>(node: Rc<Node<F>>) {
-    let mut buf = vec![0; MAX_HEARTBEAT];
+    let mut buf = vec![0; MAX_DATAGRAM];
     loop {
         let len = match node.heartbeats.recv(&mut buf).await {
             Ok(len) => len,
             Err(e) => {
-                tracing::debug!(error = %e, "cannot take a heartbeat");
+                tracing::debug!(error = %e, "cannot take a message of another VM");
                 continue;
             }
         };
-        match postcard::from_bytes::<Heartbeat>(&buf[..len]) {
-            Ok(heartbeat) => {
+        match postcard::from_bytes::<PeerMessage>(&buf[..len]) {
+            Ok(msg) => {
                 let now = node.clock.now();
-                node.steering.borrow_mut().on_heartbeat(heartbeat, now);
+                node.steering.borrow_mut().on_message(msg, now);
                 node.act();
             }
-            Err(e) => tracing::warn!(error = %e, "a heartbeat cannot be read and was dropped"),
+            Err(e) => {
+                tracing::warn!(error = %e, "a message of another VM cannot be read and was dropped");
+            }
         }
     }
 }
@@ -81,15 +82,20 @@
 /// Sends a heartbeat.
 pub fn send_heartbeat<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, to: SocketAddrV4) {
     let heartbeat = node.steering.borrow_mut().heartbeat(to, node.clock.now());
-    let datagram = match postcard::to_allocvec(&heartbeat) {
+    send(node, to, &PeerMessage::Heartbeat(heartbeat));
+}
+
+/// Sends a message to another VM.
+pub fn send<F: PlatformFormat + 'static>(node: &Node<F>, to: SocketAddrV4, msg: &PeerMessage) {
+    let datagram = match postcard::to_allocvec(msg) {
         Ok(datagram) => datagram,
         Err(e) => {
-            tracing::error!(error = %e, "a heartbeat cannot be written");
+            tracing::error!(error = %e, "a message to another VM cannot be written");
             return;
         }
     };
     if let Err(e) = node.heartbeats.try_send_to(&datagram, to.into()) {
-        tracing::debug!(error = %e, %to, "a heartbeat could not be sent");
+        tracing::debug!(error = %e, %to, "a message to another VM could not be sent");
     }
 }
 
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -32,6 +32,7 @@
             },
             peers::{
                 Contact,
+                PeerMessage,
                 SnapshotRequest,
                 Want, //
             },
@@ -178,6 +179,11 @@
         from: usize,
         to: usize,
     },
+    Message {
+        from: usize,
+        to: usize,
+        msg: PeerMessage,
+    },
     Pull {
         from: usize,
         to: usize,
@@ -378,6 +384,10 @@
                     let to = number(to);
                     self.later(STEP, Delivery::Heartbeat { from: at, to });
                 }
+                Action::Tell { to, msg } => {
+                    let (from, to) = (at, number(to));
+                    self.later(STEP, Delivery::Message { from, to, msg });
+                }
                 Action::Pull { from, wants } => {
                     let from = number(from);
                     self.later(
@@ -430,6 +440,10 @@
                 self.vm(to).on_heartbeat(heartbeat, now);
                 self.act(to);
             }
+            Delivery::Message { from, to, msg } if self.reaches(from, to) => {
+                self.vm(to).on_message(msg, now);
+                self.act(to);
+            }
             Delivery::Pull { from, to, wants } if self.reaches(from, to) => {
                 let request = SnapshotRequest { wants };
                 let snapshot = self.vm(from).snapshot(&request, now);
