--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -174,6 +174,7 @@
 }
 
 /// Something on its way.
+#[expect(clippy::large_enum_variant, reason = "few are on their way at once")]
 enum Delivery {
     Heartbeat {
         from: usize,
