Keep new flows away from backend servers that reject them

What rejects everything has the least load, so 228 of 360 new flows of one second went there, and clients spent all their tries.

Ruled out: more probes. The address may belong to another service by then and accepts the connection.

Change: a flow that does not open in twice the usual time, or whose client opens another one instead, speaks against the backend server; it gets new flows only if nothing else is left, until one opens or two seconds have passed. It is probed, and a refused connection then shows that it is dead, so that resting flows are reset.

--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -97,4 +97,5 @@
     7013 PeerSilent Warn "Another VM is no longer heard.";
     7014 LinesSuppressed Info "Lines of one event were left out in the last second.";
     7015 DataCentreTakenOver Warn "The routers send the clients of a data centre to others.";
+    7016 BackendDoubtful Info "Flows placed at a backend server do not open; others get new flows.";
 }
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -78,6 +78,11 @@
         /// Why.
         reason: DropReason,
     },
+    /// Flows placed at a backend server do not open; others get new flows.
+    BackendDoubtful {
+        /// The backend server.
+        tag: Tag,
+    },
     /// A backend server is held for dead.
     BackendDead {
         /// The backend server.
@@ -154,6 +159,7 @@
             Decision::FlowPlaced { .. } => Notice::FlowPlaced,
             Decision::FlowReset { .. } => Notice::FlowReset,
             Decision::PacketDropped { .. } => Notice::PacketDropped,
+            Decision::BackendDoubtful { .. } => Notice::BackendDoubtful,
             Decision::BackendDead { .. } => Notice::BackendDead,
             Decision::BackendRevived { .. } => Notice::BackendRevived,
             Decision::BackendEnded { .. } => Notice::BackendEnded,
--- a/src/core/steering/directory.rs
+++ b/src/core/steering/directory.rs
@@ -78,8 +78,9 @@
     /// It is in cold start: a limited number of new flows, if nothing else is
     /// left.
     Cold,
-    /// Its object is missing: new flows only if nothing else is left.
-    Missing,
+    /// Its object is missing, or something speaks against it: new flows only if
+    /// nothing else is left.
+    Doubtful,
     /// It gets no new flows.
     Unfit,
 }
@@ -154,7 +155,7 @@
         match entry.presence {
             Presence::Gone { .. } => Fitness::Unfit,
             Presence::Missing { .. } if now < entry.cold_until => Fitness::Unfit,
-            Presence::Missing { .. } => Fitness::Missing,
+            Presence::Missing { .. } => Fitness::Doubtful,
             Presence::Listed
                 if now < entry.cold_until || self.evacuations.is_returning(place, now) =>
             {
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -40,6 +40,13 @@
 pub enum Sign {
     /// Nothing.
     None,
+    /// It has accepted the flow.
+    Opened {
+        /// The backend server.
+        tag: Tag,
+        /// How long that took, if the packet shows it.
+        took: Option<Millis>,
+    },
     /// It has answered.
     Alive {
         /// The backend server.
@@ -372,14 +379,10 @@
 
     fn observe(&mut self, packet: &Packet, now: Time) -> Sign {
         self.seen = now;
-        let has_answer = !self.is_open || is_after(packet.ack, self.ack);
         if !self.is_open {
-            self.is_open = true;
-            self.sent = Some(packet.seq);
-            // The handshake shows how far away the client is, not how fast the
-            // backend server works.
-            self.is_waiting = false;
+            return self.open(packet, now);
         }
+        let has_answer = is_after(packet.ack, self.ack);
         let took = self.answer_time(packet, now).filter(|_| has_answer);
         if has_answer {
             self.ack = packet.ack;
@@ -401,6 +404,22 @@
         Sign::None
     }
 
+    fn open(&mut self, packet: &Packet, now: Time) -> Sign {
+        self.is_open = true;
+        self.sent = Some(packet.seq);
+        self.ack = packet.ack;
+        self.repeats = 0;
+        // The handshake shows how far away the client is, not how fast the
+        // backend server works.
+        self.is_waiting = false;
+        self.note_data(packet, now);
+        let took = now.since(self.opened_at);
+        Sign::Opened {
+            tag: self.tag,
+            took: (self.copies == 0).then_some(took),
+        }
+    }
+
     /// How long the client waited for what it acknowledges. Unknown if it sends
     /// data as well: the acknowledgement may have waited for them.
     fn answer_time(&self, packet: &Packet, now: Time) -> Option<Millis> {
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -21,6 +21,7 @@
 pub mod evacuations;
 pub mod flow_changes;
 pub mod flows;
+pub mod handshakes;
 pub mod loads;
 pub mod members;
 pub mod packet;
@@ -54,6 +55,7 @@
     Fitness, //
 };
 use flows::FlowTable;
+use handshakes::Handshakes;
 use loads::RemoteLoads;
 use members::{
     HEARTBEAT_INTERVAL,
@@ -213,6 +215,7 @@
     suspicion: Suspicion,
     cold: ColdBudget,
     answers: AnswerTimes,
+    handshakes: Handshakes,
     peers: Members,
     /// The VM that keeps replicas of the flows of this one.
     holder: Option<SocketAddrV4>,
@@ -259,6 +262,7 @@
             suspicion: Suspicion::default(),
             cold: ColdBudget::default(),
             answers: AnswerTimes::default(),
+            handshakes: Handshakes::default(),
             remote: RemoteLoads::default(),
             beliefs: Beliefs::default(),
             readers: Kind::ALL.map(Reader::open),
@@ -357,6 +361,7 @@
         self.directory.tick(self.beliefs.trouble_over(), now);
         self.end_flows(now);
         self.forget_lost(now);
+        self.doubt_unopened(now);
         self.probe(now);
         self.speak_for_lost(now);
         self.review_readiness(now);
@@ -372,6 +377,7 @@
             self.suspicion.sweep(now);
             self.cold.sweep(now);
             self.answers.sweep(now);
+            self.handshakes.sweep(now);
         }
     }
 
@@ -416,6 +422,15 @@
         }
     }
 
+    /// Has the backend servers probed that leave new flows unanswered.
+    fn doubt_unopened(&mut self, now: Time) {
+        for tag in self.handshakes.doubtful(now) {
+            if self.suspicion.doubt_unopened(tag, now) {
+                self.decisions.push(Decision::BackendDoubtful { tag });
+            }
+        }
+    }
+
     fn probe(&mut self, now: Time) {
         for tag in self.suspicion.take_probes(now) {
             match self.directory.entry(tag).filter(|e| e.may_live()) {
--- a/src/core/steering/placing.rs
+++ b/src/core/steering/placing.rs
@@ -27,6 +27,7 @@
         Fitness, //
     },
     flows::FlowTable,
+    handshakes::Handshakes,
     loads::RemoteLoads,
     members::Members,
     routing::Routing,
@@ -65,6 +66,8 @@
     pub remote: &'a RemoteLoads,
     /// How fast the backend servers answer.
     pub answers: &'a AnswerTimes,
+    /// Which backend servers leave new flows unanswered.
+    pub handshakes: &'a Handshakes,
     /// The new flows that backend servers in cold start got.
     pub cold: &'a ColdBudget,
     /// The evidence against backend servers.
@@ -128,11 +131,12 @@
         if fitness == Fitness::Cold && !self.may_warm(tag, &entry.server.service) {
             return Fitness::Unfit;
         }
+        let is_doubtful = self.handshakes.is_doubtful(tag, self.now);
         match self.suspicion.standing(tag) {
-            Standing::Trusted => fitness,
+            Standing::Trusted if !is_doubtful => fitness,
             // Nobody counts what else it gets.
-            Standing::Suspected if fitness == Fitness::Cold => Fitness::Unfit,
-            Standing::Suspected => fitness.max(Fitness::Missing),
+            Standing::Trusted | Standing::Suspected if fitness == Fitness::Cold => Fitness::Unfit,
+            Standing::Trusted | Standing::Suspected => fitness.max(Fitness::Doubtful),
             Standing::Unreachable | Standing::Dead => Fitness::Unfit,
         }
     }
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -65,7 +65,11 @@
             return Verdict::Reset(ResetReason::NoRoute);
         }
         let offered: SmallVec<[Tag; 3]> = match self.flows.offers(&packet.flow, copy, now) {
-            None => SmallVec::new(),
+            None => {
+                let client = *packet.flow.client.ip();
+                self.handshakes.attempted(client, now);
+                SmallVec::new()
+            }
             // The same copy may arrive twice.
             Some((offered, true)) => return self.repeat_offer(offered.last().copied()),
             Some((offered, false)) => SmallVec::from_slice(offered),
@@ -77,6 +81,7 @@
             return self.refuse(now);
         };
         self.flows.offer(packet, copy, tag, now);
+        self.handshakes.offered(*packet.flow.client.ip(), tag, now);
         if fitness == Fitness::Cold {
             self.cold.spend(tag, now);
         }
@@ -140,6 +145,7 @@
             flows: &self.flows,
             remote: &self.remote,
             answers: &self.answers,
+            handshakes: &self.handshakes,
             cold: &self.cold,
             suspicion: &self.suspicion,
             now,
@@ -193,6 +199,11 @@
     fn note_sign(&mut self, sign: Sign, packet: &Packet, now: Time) {
         match sign {
             Sign::None => {}
+            Sign::Opened { tag, took } => {
+                self.suspicion.acquit(tag, now);
+                let client = *packet.flow.client.ip();
+                self.handshakes.opened(client, tag, took);
+            }
             Sign::Alive { tag, took } => {
                 self.suspicion.acquit(tag, now);
                 if let Some(took) = took {
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -78,6 +78,8 @@
     reported: bool,
     /// Whether its whole data centre may be out of reach.
     place_in_doubt: bool,
+    /// Whether the flows that this VM placed there do not open.
+    unopened: bool,
     dead: bool,
 }
 
@@ -105,6 +107,8 @@
     pub probe: Option<ProbeOutcome>,
     /// Whether another VM holds it for dead.
     pub reported: bool,
+    /// Whether the flows that this VM placed there do not open.
+    pub unopened: bool,
 }
 
 /// The evidence against backend servers.
@@ -174,6 +178,14 @@
         case.place_in_doubt = true;
     }
 
+    /// Notes that flows placed at a backend server do not open. Returns whether
+    /// that is news.
+    pub fn doubt_unopened(&mut self, tag: Tag, now: Time) -> bool {
+        let case = self.cases.entry(tag).or_default();
+        case.last_evidence = now;
+        !std::mem::replace(&mut case.unopened, true)
+    }
+
     /// Notes what a probe found. Returns whether this shows that the backend
     /// server is dead.
     pub fn probed(&mut self, tag: Tag, outcome: ProbeOutcome, now: Time) -> bool {
@@ -218,6 +230,7 @@
             repeats: self.silent.iter().map(|(_, n)| *n).max().unwrap_or(0),
             probe,
             reported: self.reported,
+            unopened: self.unopened,
         }
     }
 
@@ -275,7 +288,7 @@
 
     /// Tells whether clients of this VM wait in vain.
     fn is_silent(&self) -> bool {
-        self.silent.len() >= ENOUGH_FLOWS || self.strong() > 0
+        self.unopened || self.silent.len() >= ENOUGH_FLOWS || self.strong() > 0
     }
 
     fn wants_probe(&self, now: Time) -> bool {
@@ -299,7 +312,7 @@
             Probe::Answered {
                 outcome: ProbeOutcome::Refused,
                 ..
-            } => self.place_in_doubt || self.reported || !self.silent.is_empty(),
+            } => self.place_in_doubt || self.reported || self.unopened || !self.silent.is_empty(),
             Probe::Answered {
                 outcome: ProbeOutcome::TimedOut,
                 ..
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -110,8 +110,9 @@
         } => {
             let probe = evidence.probe.map(|p| format!("{p:?}")).unwrap_or_default();
             let (silent, repeats) = (evidence.silent_flows, evidence.repeats);
-            line!(decision, backend = %tag, silent, repeats, probe, reported = evidence.reported, flows);
+            line!(decision, backend = %tag, silent, repeats, probe, reported = evidence.reported, unopened = evidence.unopened, flows);
         }
+        Decision::BackendDoubtful { tag } => line!(decision, backend = %tag),
         Decision::BackendRevived { tag } => line!(decision, backend = %tag),
         Decision::BackendEnded { tag, flows } => line!(decision, backend = %tag, flows),
         Decision::Learnt {
