Reset flows whose backend server the store, asked again, does not list

Cause: a VM that starts after a backend server ended never learns of it; packets with its tag were dropped, and the client repeated itself until its deadline.

Ruled out: resetting at once. Another VM may have learnt of a new backend server first, and the store may have lost the object while it was away; so the store has to be asked after the packet was seen, and 2.5 s after its trouble or this VM's start.

tests/steering_flows.rs: a_flow_whose_backend_server_the_store_still_does_not_list_later_is_over failed before.

--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -36,6 +36,7 @@
 pub mod store;
 pub mod suspicion;
 pub mod tag;
+pub mod unlisted;
 
 mod beliefs;
 mod exchange;
@@ -52,7 +53,8 @@
 use directory::{
     Directory,
     Ended,
-    Fitness, //
+    Fitness,
+    REAPPEAR_TIME, //
 };
 use flows::FlowTable;
 use handshakes::Handshakes;
@@ -95,6 +97,7 @@
 };
 use tag::Tag;
 use takeover::TakenOver;
+use unlisted::UnlistedTags;
 
 use crate::{
     core::names::{
@@ -216,6 +219,7 @@
     cold: ColdBudget,
     answers: AnswerTimes,
     handshakes: Handshakes,
+    unlisted: UnlistedTags,
     peers: Members,
     /// The VM that keeps replicas of the flows of this one.
     holder: Option<SocketAddrV4>,
@@ -263,6 +267,7 @@
             cold: ColdBudget::default(),
             answers: AnswerTimes::default(),
             handshakes: Handshakes::default(),
+            unlisted: UnlistedTags::default(),
             remote: RemoteLoads::default(),
             beliefs: Beliefs::default(),
             readers: Kind::ALL.map(Reader::open),
@@ -360,6 +365,7 @@
     pub fn tick(&mut self, now: Time) {
         self.directory.tick(self.beliefs.trouble_over(), now);
         self.end_flows(now);
+        self.end_unlisted(now);
         self.forget_lost(now);
         self.doubt_unopened(now);
         self.probe(now);
@@ -378,6 +384,8 @@
             self.cold.sweep(now);
             self.answers.sweep(now);
             self.handshakes.sweep(now);
+            let is_known = |tag| self.directory.entry(tag).is_some();
+            self.unlisted.sweep(is_known, now);
         }
     }
 
@@ -453,6 +461,31 @@
         }
     }
 
+    /// Resets the flows of tags that the store, asked again, does not list.
+    fn end_unlisted(&mut self, now: Time) {
+        let Some(as_of) = self.surely_listed_at(now) else {
+            return;
+        };
+        let is_unknown = |tag: &Tag| self.directory.entry(*tag).is_none();
+        let over: Vec<Tag> = self
+            .unlisted
+            .seen_before(as_of)
+            .filter(is_unknown)
+            .collect();
+        for tag in over {
+            self.reset_flows(tag, ResetReason::BackendUnlisted, now);
+        }
+    }
+
+    /// Returns a time at which the store listed all backend servers that lived,
+    /// and this VM knows the list. `None` shortly after trouble of the store, of
+    /// which a VM that has just started knows nothing.
+    fn surely_listed_at(&self, now: Time) -> Option<Time> {
+        let settled = self.beliefs.trouble_over().max(self.opened + REAPPEAR_TIME);
+        let as_of = self.beliefs.get(Kind::BackendServers).as_of;
+        (now >= settled).then_some(as_of)
+    }
+
     fn declare_dead(&mut self, tag: Tag, now: Time) {
         let flows = self.reset_flows(tag, ResetReason::BackendDead, now);
         let evidence = self.suspicion.evidence(tag);
--- a/src/core/steering/packet.rs
+++ b/src/core/steering/packet.rs
@@ -95,6 +95,9 @@
     /// The backend server is gone.
     #[display("backend_gone")]
     BackendGone,
+    /// The store does not list the backend server, which this VM never knew.
+    #[display("backend_unlisted")]
+    BackendUnlisted,
     /// The backend server does not react any more.
     #[display("backend_dead")]
     BackendDead,
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -163,7 +163,7 @@
         let Some(tag) = packet.tag else {
             return Verdict::Drop(DropReason::NoTag);
         };
-        let verdict = self.find(tag);
+        let verdict = self.find(tag, now);
         match verdict {
             Verdict::Forward(_) => {
                 let sign = self.flows.observe(packet, tag, closes || rejects, now);
@@ -171,14 +171,24 @@
                 verdict
             }
             Verdict::Reset(_) if rejects => Verdict::Drop(DropReason::RejectedFlow),
-            Verdict::Reset(_) | Verdict::Drop(_) => verdict,
+            Verdict::Drop(_) => {
+                // The client is told as soon as it is known that the flow is over.
+                self.flows.observe(packet, tag, closes || rejects, now);
+                self.unlisted.note(tag, now);
+                verdict
+            }
+            Verdict::Reset(_) => verdict,
         }
     }
 
     /// Finds the backend server of a tag.
-    fn find(&self, tag: Tag) -> Verdict {
+    fn find(&self, tag: Tag, now: Time) -> Verdict {
         let Some(entry) = self.directory.entry(tag) else {
-            return Verdict::Drop(DropReason::UnknownTag);
+            let as_of = self.surely_listed_at(now);
+            return match as_of.is_some_and(|at| self.unlisted.was_seen_before(tag, at)) {
+                true => Verdict::Reset(ResetReason::BackendUnlisted),
+                false => Verdict::Drop(DropReason::UnknownTag),
+            };
         };
         if !entry.may_live() {
             return Verdict::Reset(ResetReason::BackendGone);
--- a/tests/steering_flows.rs
+++ b/tests/steering_flows.rs
@@ -368,3 +368,44 @@
     let moved = world.packet(0, &data(1_000, there, 101, 500));
     assert_eq!(forwarded(moved), there);
 }
+
+#[test]
+fn a_flow_whose_backend_server_the_store_still_does_not_list_later_is_over() {
+    let (mut world, _) = world(1);
+    world.run(Millis(3_000));
+    let stranger = Tag::of(BackendKey(77));
+    let verdict = world.packet(0, &data(1_000, stranger, 1, 700));
+    assert_eq!(verdict, Verdict::Drop(DropReason::UnknownTag));
+    world.run(Millis(2_000));
+    let (_, reset) = world.resets[0];
+    assert_eq!((reset.flow, reset.seq), (flow(1_000), 700));
+    let verdict = world.packet(0, &data(1_001, stranger, 1, 1));
+    assert_eq!(verdict, Verdict::Reset(ResetReason::BackendUnlisted));
+}
+
+#[test]
+fn a_vm_that_has_just_started_waits_for_backend_servers_that_lapsed() {
+    let (mut world, tags) = world(1);
+    world.remove_backend(&backend(1, "a"));
+    world.restart(0);
+    world.run(Millis(100));
+    world.packet(0, &data(1_000, tags[0], 1, 1));
+    world.run(Millis(2_200));
+    assert!(world.resets.is_empty());
+    world.put_backend(&backend(1, "a"));
+    world.run(Millis(3_000));
+    assert!(world.resets.is_empty());
+    let verdict = world.packet(0, &data(1_000, tags[0], 1, 1));
+    assert_eq!(forwarded(verdict), tags[0]);
+}
+
+#[test]
+fn an_unknown_tag_is_not_reset_while_the_store_does_not_answer() {
+    let (mut world, _) = world(1);
+    world.run(Millis(3_000));
+    world.storeless.insert(0);
+    let stranger = Tag::of(BackendKey(77));
+    world.packet(0, &data(1_000, stranger, 1, 1));
+    world.run(Millis(10_000));
+    assert!(world.resets.is_empty());
+}
