Notice a cold start by slow answers in a row, and do not grow during it

The average of recent answers had to reach four times the usual time, which it did after the fall, and the usual time itself rose with each slow answer, so that the allowance grew again while the server was still cold.

Change: three answers in a row that take 2.5 times as long are a fall; the allowance does not grow while the recent ones take twice as long, and the usual time is then learnt slowly.

--- a/src/core/capacity/allowance.rs
+++ b/src/core/capacity/allowance.rs
@@ -26,6 +26,16 @@
 /// Recent answers that take this many times as long as usual are slow.
 const SLOW_RATIO: f64 = 4.0;
 
+/// Recent answers that take this many times as long as usual are elevated: the
+/// allowance does not grow.
+const ELEVATED_RATIO: f64 = 2.0;
+
+/// A single answer that takes this many times as long as usual is slow.
+const SLOW_ANSWER_RATIO: f64 = 2.5;
+
+/// Slow answers in a row that show a cold start.
+const SLOW_ANSWERS: u32 = 3;
+
 /// Recent answers that are quicker than this are never slow.
 const NEVER_SLOW: Millis = Millis(20);
 
@@ -35,6 +45,10 @@
 /// The weight of a new sample in the usual time of an answer.
 const USUAL_WEIGHT: f64 = 1.0 / 32.0;
 
+/// The same while recent answers are elevated. A backend server that stays slow
+/// is slow for good, in the end.
+const ELEVATED_WEIGHT: f64 = 1.0 / 256.0;
+
 /// Why the allowance of a backend server fell back to one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fall {
@@ -61,6 +75,8 @@
     closed_until: Time,
     recent: Option<f64>,
     usual: Option<f64>,
+    /// Slow answers since the last one that was not.
+    slow_answers: u32,
     run: Option<u64>,
     former_run: Option<u64>,
 }
@@ -77,6 +93,7 @@
             closed_until: now,
             recent: None,
             usual: None,
+            slow_answers: 0,
             run: None,
             former_run: None,
         }
@@ -111,8 +128,10 @@
         let fall = self.cause_of_fall(report);
         match fall {
             Some(_) => self.fall(now),
-            None if report.result == SlotResult::Answered => self.grow(now, slots),
-            None => {}
+            None if report.result != SlotResult::Answered => {}
+            // It may still be cold.
+            None if self.is_elevated() => self.answers = 0,
+            None => self.grow(now, slots),
         }
         fall
     }
@@ -150,14 +169,32 @@
             self.usual = Some(sample);
             return false;
         };
-        if recent > NEVER_SLOW.0 as f64 && recent > usual * SLOW_RATIO {
+        let is_slow = |time: f64, ratio| time > NEVER_SLOW.0 as f64 && time > usual * ratio;
+        self.slow_answers = match is_slow(sample, SLOW_ANSWER_RATIO) {
+            true => self.slow_answers + 1,
+            false => 0,
+        };
+        let has_slowed = is_slow(recent, SLOW_RATIO) || self.slow_answers >= SLOW_ANSWERS;
+        if has_slowed && self.open > 1 {
             self.recent = None;
+            self.slow_answers = 0;
             return true;
         }
-        self.usual = Some(average(self.usual, sample, USUAL_WEIGHT));
+        let weight = match self.is_elevated() {
+            true => ELEVATED_WEIGHT,
+            false => USUAL_WEIGHT,
+        };
+        self.usual = Some(average(self.usual, sample, weight));
         false
     }
 
+    fn is_elevated(&self) -> bool {
+        let Some((recent, usual)) = self.recent.zip(self.usual) else {
+            return false;
+        };
+        recent > NEVER_SLOW.0 as f64 && recent > usual * ELEVATED_RATIO
+    }
+
     fn fall(&mut self, now: Time) {
         if now < self.closed_until {
             // Several requests of one incident fail together.
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -287,6 +287,12 @@
         self.nodes[at].frozen_until = Some(self.now + span);
     }
 
+    /// Tells whether the VM `at` stands still.
+    pub fn is_frozen(&self, at: usize) -> bool {
+        let until = self.nodes[at].frozen_until;
+        until.is_some_and(|until| self.now < until)
+    }
+
     /// Begins a planned stop of the VM `at`.
     pub fn stop(&mut self, at: usize) {
         self.event(at, Event::Stop);
