Bound probes, and leave doubts that concern nobody else to hubs

What a VM spends must not grow with the fleet.

Change: a doubt is looked after by hubs and by VMs that know flows of the backend server; each VM sends at most 100 probes a second, own evidence first.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -223,7 +223,7 @@
             self.peers.add_contact(contact, now);
         }
         for tag in &heartbeat.dead {
-            self.suspicion.report(*tag, now);
+            self.suspicion.report(*tag, heartbeat.address, now);
         }
         for place in &heartbeat.taken_over {
             self.note_taken_over(place, false, now);
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -380,7 +380,8 @@
             self.flows.sweep(self.idle_timeout(), now);
             self.replicas.sweep(self.idle_timeout(), now);
             self.choose_holder(now);
-            self.suspicion.sweep(now);
+            let concerns = concerns(&self.peers, &self.flows, &self.replicas);
+            self.suspicion.sweep(concerns, now);
             self.cold.sweep(now);
             self.answers.sweep(now);
             self.handshakes.sweep(now);
@@ -440,7 +441,8 @@
     }
 
     fn probe(&mut self, now: Time) {
-        for tag in self.suspicion.take_probes(now) {
+        let concerns = concerns(&self.peers, &self.flows, &self.replicas);
+        for tag in self.suspicion.take_probes(concerns, now) {
             match self.directory.entry(tag).filter(|e| e.may_live()) {
                 Some(entry) => self.actions.push(Action::Probe {
                     tag,
@@ -613,6 +615,13 @@
     }
 }
 
+/// Tells whether a VM looks after doubts about a backend server: hubs do, and
+/// VMs that know flows of it. So what all others spend on doubts does not grow
+/// with the fleet.
+fn concerns(peers: &Members, flows: &FlowTable, replicas: &Replicas) -> impl Fn(Tag) -> bool {
+    |tag| peers.is_hub() || flows.load(tag).flows > 0 || replicas.has_any_of(tag)
+}
+
 /// Returns a time at which the store surely had nothing newer than the answer
 /// to a call that was sent at `sent`.
 fn as_of(call: &StoreCall, answer: &StoreAnswer, sent: Time, now: Time) -> Time {
--- a/src/core/steering/replicas.rs
+++ b/src/core/steering/replicas.rs
@@ -9,9 +9,12 @@
 //! another data centre only if no VM of their own answers. So replicas are used
 //! once their clients turn up here.
 
-use std::net::{
-    Ipv4Addr,
-    SocketAddrV4, //
+use std::{
+    hash::Hash,
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
 };
 
 use hashbrown::HashMap;
@@ -63,6 +66,10 @@
     /// The last batch that was taken.
     number: u64,
     flows: HashMap<FlowId, Replica>,
+    /// The flows of each backend server.
+    ///
+    /// Invariant: the sum is the number of `flows`; none is zero.
+    tags: HashMap<Tag, u32>,
     /// The flows of each client.
     ///
     /// Invariant: the sum is the number of `flows`; none is zero.
@@ -88,6 +95,11 @@
         self.owners.values().all(|o| o.flows.is_empty())
     }
 
+    /// Tells whether there is a flow of a backend server.
+    pub fn has_any_of(&self, tag: Tag) -> bool {
+        self.owners.values().any(|o| o.tags.contains_key(&tag))
+    }
+
     /// Takes in a batch. If the VM has started again, returns what it carried
     /// in its run before.
     pub fn take(&mut self, batch: &ReplicaBatch, now: Time) -> Vec<FlowRecord> {
@@ -158,6 +170,7 @@
             data_centre: batch.data_centre.clone(),
             number: 0,
             flows: HashMap::new(),
+            tags: HashMap::new(),
             clients: HashMap::new(),
             turned_up: HashMap::new(),
         }
@@ -173,25 +186,20 @@
             ack: record.ack,
             told: now,
         };
-        if let Some(known) = self.flows.get_mut(&record.flow) {
-            *known = replica;
-        } else if room > 0 {
-            self.flows.insert(record.flow, replica);
-            *self.clients.entry(*record.flow.client.ip()).or_default() += 1;
+        if self.flows.contains_key(&record.flow) {
+            self.remove(&record.flow);
+        } else if room == 0 {
+            return;
         }
+        self.flows.insert(record.flow, replica);
+        *self.tags.entry(tag).or_default() += 1;
+        *self.clients.entry(*record.flow.client.ip()).or_default() += 1;
     }
 
     fn remove(&mut self, flow: &FlowId) {
-        if self.flows.remove(flow).is_none() {
-            return;
-        }
-        let client = *flow.client.ip();
-        let Some(flows) = self.clients.get_mut(&client) else {
-            return;
-        };
-        *flows -= 1;
-        if *flows == 0 {
-            self.clients.remove(&client);
+        if let Some(replica) = self.flows.remove(flow) {
+            count_down(&mut self.tags, replica.tag);
+            count_down(&mut self.clients, *flow.client.ip());
         }
     }
 
@@ -227,3 +235,13 @@
         }
     }
 }
+
+/// Takes one off a count and forgets it at zero.
+fn count_down<K: Eq + Hash>(counts: &mut HashMap<K, u32>, key: K) {
+    if let Some(count) = counts.get_mut(&key) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&key);
+        }
+    }
+}
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -6,6 +6,8 @@
 //! flows of a backend server that lives: one that has much to do lets clients
 //! repeat themselves, too, and a single connection may fail by chance.
 
+use std::net::SocketAddrV4;
+
 use hashbrown::HashMap;
 use smallvec::SmallVec;
 
@@ -24,6 +26,9 @@
 /// Flows with a repeat each that make a backend server suspect.
 const ENOUGH_FLOWS: usize = 2;
 
+/// Other VMs whose word and own time-outs make a backend server dead.
+const ENOUGH_REPORTS: usize = 2;
+
 /// How long evidence is kept.
 const EVIDENCE_TIME: Millis = Millis::from_secs(3);
 
@@ -36,6 +41,12 @@
 /// The time between two probes of a backend server.
 const PROBE_INTERVAL: Millis = Millis::from_secs(1);
 
+/// The probes that a VM may send in a second.
+const PROBES_PER_SECOND: f64 = 100.0;
+
+/// The probes that it may send at once.
+const PROBE_BURST: f64 = 64.0;
+
 /// How long a backend server that accepted a connection is believed against
 /// other VMs.
 const TRUST_TIME: Millis = Millis::from_secs(3);
@@ -74,8 +85,10 @@
     silent: SmallVec<[(FlowId, u8); ENOUGH_FLOWS]>,
     last_evidence: Time,
     probe: Probe,
-    /// Whether another VM says that the backend server is dead.
-    reported: bool,
+    /// The VMs that say that the backend server is dead.
+    ///
+    /// Invariant: at most [`ENOUGH_REPORTS`], each once.
+    reports: SmallVec<[SocketAddrV4; ENOUGH_REPORTS]>,
     /// Whether its whole data centre may be out of reach.
     place_in_doubt: bool,
     /// Whether the flows that this VM placed there do not open.
@@ -96,6 +109,16 @@
     },
 }
 
+impl Probe {
+    /// When it was sent or answered; the start of time if neither.
+    fn at(self) -> Time {
+        match self {
+            Probe::NotAsked => Time::default(),
+            Probe::Asked { since: at } | Probe::Answered { at, .. } => at,
+        }
+    }
+}
+
 /// What speaks against a backend server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Evidence {
@@ -112,9 +135,24 @@
 }
 
 /// The evidence against backend servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Suspicion {
     cases: HashMap<Tag, Case>,
+    /// The probes that may be sent now.
+    ///
+    /// Invariant: at most [`PROBE_BURST`].
+    allowance: f64,
+    allowed_at: Time,
+}
+
+impl Default for Suspicion {
+    fn default() -> Suspicion {
+        Suspicion {
+            cases: HashMap::new(),
+            allowance: PROBE_BURST,
+            allowed_at: Time::default(),
+        }
+    }
 }
 
 impl Suspicion {
@@ -163,12 +201,16 @@
         case.decide()
     }
 
-    /// Notes that another VM says that a backend server is dead.
-    pub fn report(&mut self, tag: Tag, now: Time) {
+    /// Notes that the VM `from` says that a backend server is dead.
+    pub fn report(&mut self, tag: Tag, from: SocketAddrV4, now: Time) {
         let case = self.cases.entry(tag).or_default();
         case.last_evidence = now;
-        // The other VM may not have noticed yet.
-        case.reported = !case.was_accepted_of_late(now);
+        if case.was_accepted_of_late(now) {
+            // The other VM may not have noticed yet.
+            case.reports.clear();
+        } else if case.reports.len() < ENOUGH_REPORTS && !case.reports.contains(&from) {
+            case.reports.push(from);
+        }
     }
 
     /// Notes that the data centre of a backend server may be out of reach.
@@ -199,22 +241,36 @@
         case.decide()
     }
 
-    /// Returns the backend servers to probe now.
-    pub fn take_probes(&mut self, now: Time) -> Vec<Tag> {
-        let mut due = Vec::new();
-        for (tag, case) in &mut self.cases {
-            if case.wants_probe(now) {
+    /// Returns the backend servers to probe now: those that clients of this VM
+    /// wait for, and others that are doubted and `concern` this VM. Those that
+    /// were probed longest ago come first if there are too many.
+    pub fn take_probes(&mut self, concerns: impl Fn(Tag) -> bool, now: Time) -> Vec<Tag> {
+        let earned = PROBES_PER_SECOND * now.since(self.allowed_at).0 as f64 / 1_000.0;
+        self.allowance = PROBE_BURST.min(self.allowance + earned);
+        self.allowed_at = now;
+        let wanted = self
+            .cases
+            .iter()
+            .filter(|(tag, case)| case.wants_probe(|| concerns(**tag), now));
+        let mut due: Vec<(bool, Time, Tag)> = wanted
+            .map(|(tag, case)| (!case.is_silent(), case.probe.at(), *tag))
+            .collect();
+        due.sort_unstable();
+        due.truncate(self.allowance as usize);
+        self.allowance -= due.len() as f64;
+        for (_, _, tag) in &due {
+            if let Some(case) = self.cases.get_mut(tag) {
                 case.probe = Probe::Asked { since: now };
-                due.push(*tag);
             }
         }
-        due
+        due.into_iter().map(|(_, _, tag)| tag).collect()
     }
 
-    /// Drops evidence that was not renewed.
-    pub fn sweep(&mut self, now: Time) {
-        self.cases.retain(|_, case| {
-            case.is_unreachable() || now.since(case.last_evidence) < EVIDENCE_TIME
+    /// Drops evidence that was not renewed, unless probes renew it.
+    pub fn sweep(&mut self, concerns: impl Fn(Tag) -> bool, now: Time) {
+        self.cases.retain(|tag, case| {
+            let is_recent = now.since(case.last_evidence) < EVIDENCE_TIME;
+            is_recent || (case.is_unreachable() && concerns(*tag))
         });
     }
 }
@@ -229,7 +285,7 @@
             silent_flows: self.silent.len(),
             repeats: self.silent.iter().map(|(_, n)| *n).max().unwrap_or(0),
             probe,
-            reported: self.reported,
+            reported: self.is_reported(),
             unopened: self.unopened,
         }
     }
@@ -257,8 +313,12 @@
             .count()
     }
 
+    fn is_reported(&self) -> bool {
+        !self.reports.is_empty()
+    }
+
     fn is_suspect(&self) -> bool {
-        self.reported || self.is_silent()
+        self.is_reported() || self.is_silent()
     }
 
     fn acquit(&mut self, now: Time) {
@@ -273,12 +333,9 @@
     }
 
     fn was_accepted_of_late(&self, now: Time) -> bool {
-        match self.probe {
-            Probe::Answered { at, outcome } => {
-                outcome == ProbeOutcome::Accepted && now.since(at) < TRUST_TIME
-            }
-            Probe::NotAsked | Probe::Asked { .. } => false,
-        }
+        let was_accepted = |outcome| outcome == ProbeOutcome::Accepted;
+        matches!(self.probe, Probe::Answered { at, outcome }
+            if was_accepted(outcome) && now.since(at) < TRUST_TIME)
     }
 
     fn is_unreachable(&self) -> bool {
@@ -291,16 +348,10 @@
         self.unopened || self.silent.len() >= ENOUGH_FLOWS || self.strong() > 0
     }
 
-    fn wants_probe(&self, now: Time) -> bool {
-        let has_reason = self.is_suspect() || self.place_in_doubt || self.is_unreachable();
-        if !has_reason {
-            return false;
-        }
-        match self.probe {
-            Probe::NotAsked => true,
-            Probe::Asked { since } => now.since(since) >= PROBE_INTERVAL,
-            Probe::Answered { at, .. } => now.since(at) >= PROBE_INTERVAL,
-        }
+    fn wants_probe(&self, concerns: impl Fn() -> bool, now: Time) -> bool {
+        let is_doubted = self.is_reported() || self.place_in_doubt || self.is_unreachable();
+        let is_due = self.probe == Probe::NotAsked || now.since(self.probe.at()) >= PROBE_INTERVAL;
+        is_due && (self.is_silent() || (is_doubted && concerns()))
     }
 
     /// Returns whether the backend server has just turned out to be dead.
@@ -312,14 +363,20 @@
             Probe::Answered {
                 outcome: ProbeOutcome::Refused,
                 ..
-            } => self.place_in_doubt || self.reported || self.unopened || !self.silent.is_empty(),
+            } => {
+                self.place_in_doubt
+                    || self.is_reported()
+                    || self.unopened
+                    || !self.silent.is_empty()
+            }
             Probe::Answered {
                 outcome: ProbeOutcome::TimedOut,
                 ..
             } => {
                 self.place_in_doubt
                     || self.is_silent()
-                    || (self.reported && !self.silent.is_empty())
+                    || self.reports.len() >= ENOUGH_REPORTS
+                    || (self.is_reported() && !self.silent.is_empty())
             }
             _ => false,
         };
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -215,6 +215,8 @@
     pub resets: Vec<(usize, Reset)>,
     /// The calls that VMs made of the store.
     pub calls: usize,
+    /// The probes that each VM sent.
+    pub probes: BTreeMap<usize, usize>,
     /// What VMs decided.
     pub decisions: Vec<(usize, Decision)>,
     machines: Vec<Option<Machine>>,
@@ -240,6 +242,7 @@
             silent: BTreeSet::new(),
             resets: Vec::new(),
             calls: 0,
+            probes: BTreeMap::new(),
             decisions: Vec::new(),
             machines: Vec::new(),
             deliveries: Vec::new(),
@@ -406,6 +409,7 @@
     }
 
     fn probe(&mut self, vm: usize, tag: Tag) {
+        *self.probes.entry(vm).or_default() += 1;
         let (after, outcome) = match self.silent.contains(&(vm, tag)) {
             true => (PROBE_TIME, ProbeOutcome::TimedOut),
             false => (STEP, ProbeOutcome::Accepted),
