Take the word of two hubs that a backend server is out of reach

The other VMs went on saying that they were ready, so the routers left their clients with them: 556 requests failed in 5 s.

Change: two VMs of the own data centre that hold a backend server for dead make it unreachable for the others, too; 200 probes a second and 256 at once, so that hubs find out within a second.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -222,8 +222,10 @@
         for contact in &heartbeat.contacts {
             self.peers.add_contact(contact, now);
         }
+        let is_beside = heartbeat.data_centre == self.me.data_centre;
         for tag in &heartbeat.dead {
-            self.suspicion.report(*tag, heartbeat.address, now);
+            self.suspicion
+                .report(*tag, heartbeat.address, is_beside, now);
         }
         for place in &heartbeat.taken_over {
             self.note_taken_over(place, false, now);
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -26,7 +26,7 @@
 /// Flows with a repeat each that make a backend server suspect.
 const ENOUGH_FLOWS: usize = 2;
 
-/// Other VMs whose word and own time-outs make a backend server dead.
+/// VMs of this one's data centre on whose word a backend server is out of reach.
 const ENOUGH_REPORTS: usize = 2;
 
 /// How long evidence is kept.
@@ -42,10 +42,10 @@
 const PROBE_INTERVAL: Millis = Millis::from_secs(1);
 
 /// The probes that a VM may send in a second.
-const PROBES_PER_SECOND: f64 = 100.0;
+const PROBES_PER_SECOND: f64 = 200.0;
 
 /// The probes that it may send at once.
-const PROBE_BURST: f64 = 64.0;
+const PROBE_BURST: f64 = 256.0;
 
 /// How long a backend server that accepted a connection is believed against
 /// other VMs.
@@ -71,7 +71,8 @@
     Trusted,
     /// It may be dead.
     Suspected,
-    /// It does not accept connections, but no client of this VM waits in vain.
+    /// It does not accept connections of this VM or of those beside it, but no
+    /// client of this VM waits in vain.
     Unreachable,
     /// It is dead.
     Dead,
@@ -85,10 +86,12 @@
     silent: SmallVec<[(FlowId, u8); ENOUGH_FLOWS]>,
     last_evidence: Time,
     probe: Probe,
-    /// The VMs that say that the backend server is dead.
+    /// Whether any other VM says that the backend server is dead.
+    reported: bool,
+    /// The VMs of this one's data centre that say so.
     ///
     /// Invariant: at most [`ENOUGH_REPORTS`], each once.
-    reports: SmallVec<[SocketAddrV4; ENOUGH_REPORTS]>,
+    reported_beside: SmallVec<[SocketAddrV4; ENOUGH_REPORTS]>,
     /// Whether its whole data centre may be out of reach.
     place_in_doubt: bool,
     /// Whether the flows that this VM placed there do not open.
@@ -161,7 +164,7 @@
         match self.cases.get(&tag) {
             None => Standing::Trusted,
             Some(case) if case.dead => Standing::Dead,
-            Some(case) if case.is_unreachable() => Standing::Unreachable,
+            Some(case) if case.is_unreachable() || case.is_dead_beside() => Standing::Unreachable,
             Some(case) if case.is_suspect() => Standing::Suspected,
             Some(_) => Standing::Trusted,
         }
@@ -201,15 +204,21 @@
         case.decide()
     }
 
-    /// Notes that the VM `from` says that a backend server is dead.
-    pub fn report(&mut self, tag: Tag, from: SocketAddrV4, now: Time) {
+    /// Notes that the VM `from` says that a backend server is dead. `is_beside`
+    /// tells whether that VM stands in this one's data centre.
+    pub fn report(&mut self, tag: Tag, from: SocketAddrV4, is_beside: bool, now: Time) {
         let case = self.cases.entry(tag).or_default();
         case.last_evidence = now;
         if case.was_accepted_of_late(now) {
             // The other VM may not have noticed yet.
-            case.reports.clear();
-        } else if case.reports.len() < ENOUGH_REPORTS && !case.reports.contains(&from) {
-            case.reports.push(from);
+            case.reported = false;
+            case.reported_beside.clear();
+            return;
+        }
+        case.reported = true;
+        let beside = &mut case.reported_beside;
+        if is_beside && beside.len() < ENOUGH_REPORTS && !beside.contains(&from) {
+            beside.push(from);
         }
     }
 
@@ -285,7 +294,7 @@
             silent_flows: self.silent.len(),
             repeats: self.silent.iter().map(|(_, n)| *n).max().unwrap_or(0),
             probe,
-            reported: self.is_reported(),
+            reported: self.reported,
             unopened: self.unopened,
         }
     }
@@ -313,12 +322,13 @@
             .count()
     }
 
-    fn is_reported(&self) -> bool {
-        !self.reports.is_empty()
+    /// Tells whether VMs that reach what this one does say that it is dead.
+    fn is_dead_beside(&self) -> bool {
+        self.reported_beside.len() >= ENOUGH_REPORTS
     }
 
     fn is_suspect(&self) -> bool {
-        self.is_reported() || self.is_silent()
+        self.reported || self.is_silent()
     }
 
     fn acquit(&mut self, now: Time) {
@@ -349,7 +359,7 @@
     }
 
     fn wants_probe(&self, concerns: impl Fn() -> bool, now: Time) -> bool {
-        let is_doubted = self.is_reported() || self.place_in_doubt || self.is_unreachable();
+        let is_doubted = self.reported || self.place_in_doubt || self.is_unreachable();
         let is_due = self.probe == Probe::NotAsked || now.since(self.probe.at()) >= PROBE_INTERVAL;
         is_due && (self.is_silent() || (is_doubted && concerns()))
     }
@@ -363,20 +373,15 @@
             Probe::Answered {
                 outcome: ProbeOutcome::Refused,
                 ..
-            } => {
-                self.place_in_doubt
-                    || self.is_reported()
-                    || self.unopened
-                    || !self.silent.is_empty()
-            }
+            } => self.place_in_doubt || self.reported || self.unopened || !self.silent.is_empty(),
             Probe::Answered {
                 outcome: ProbeOutcome::TimedOut,
                 ..
             } => {
                 self.place_in_doubt
                     || self.is_silent()
-                    || self.reports.len() >= ENOUGH_REPORTS
-                    || (self.is_reported() && !self.silent.is_empty())
+                    || self.is_dead_beside()
+                    || (self.reported && !self.silent.is_empty())
             }
             _ => false,
         };
