Split the steering modules by what they do

One file for each job: flows that are over, doubts, who reads the store, one flow, the evidence against one backend server, actions, identity, figures. The shared state of the sockets is called an entry VM. Resets of own flows and of replicas are told alike. Behaviour is meant to stay.

--- a/src/command/steer.rs
+++ b/src/command/steer.rs
@@ -38,7 +38,7 @@
             LossyLog,
             note, //
         },
-        steering::Node,
+        steering::EntryVm,
     },
     platform::{
         SETTINGS_VARIABLE,
@@ -98,7 +98,7 @@
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     note(Notice::Started, settings.vm.as_str());
-    let node = Node::spawn(settings, UsersPlatform, log.lost_lines.clone()).await?;
+    let vm = EntryVm::spawn(settings, UsersPlatform, log.lost_lines.clone()).await?;
     let mut changed = modified(path);
     loop {
         let changes = async {
@@ -107,17 +107,17 @@
         };
         match select(Box::pin(term.recv()), Box::pin(changes)).await {
             Either::Left(_) => break,
-            Either::Right((Either::Left(_), _)) => reload(&node, path),
+            Either::Right((Either::Left(_), _)) => reload(&vm, path),
             // The file may change without a signal.
             Either::Right((Either::Right(_), _)) if modified(path) != changed => {
-                reload(&node, path);
+                reload(&vm, path);
             }
             Either::Right(_) => {}
         }
         changed = modified(path);
     }
     note(Notice::Stopping, "");
-    node.stop().await;
+    vm.stop().await;
     note(Notice::Stopped, "");
     Ok(())
 }
@@ -127,9 +127,9 @@
     fs::metadata(path).and_then(|m| m.modified()).ok()
 }
 
-fn reload(node: &Node<UsersPlatform>, path: &Path) {
+fn reload(vm: &EntryVm<UsersPlatform>, path: &Path) {
     match SteeringSettings::load(path) {
-        Ok(settings) => node.reload(&settings),
+        Ok(settings) => vm.reload(&settings),
         Err(e) => note(Notice::ReloadRefused, &e.to_string()),
     }
 }
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use super::{
+    case::Evidence,
     directory::Fitness,
     packet::{
         DropReason,
@@ -15,7 +16,6 @@
         Kind,
         Revision, //
     },
-    suspicion::Evidence,
     tag::Tag,
 };
 use crate::{
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -1,9 +1,6 @@
 //! What VMs learn from the store and from each other.
 
-use std::{
-    cmp::Reverse,
-    net::SocketAddrV4, //
-};
+use std::net::SocketAddrV4;
 
 use super::{
     Action,
@@ -22,11 +19,7 @@
         TagLoad,
         Want, //
     },
-    reading::{
-        Reader,
-        Update,
-        watch_time, //
-    },
+    reading::Update,
     store::{
         Change,
         Kind,
@@ -40,34 +33,6 @@
     Time, //
 };
 
-/// How much older than a watch lasts knowledge may be before a VM reads the
-/// store itself, if it is the first to do so. Readers tell the others with their
-/// next heartbeat.
-const READER_DELAY: Millis = Millis(500);
-
-/// Added for each VM that comes before this one, so that they do not all begin
-/// at once.
-const TURN: Millis = Millis(100);
-
-/// The VMs that begin one after the other. They are enough to notice a store
-/// that answers some VMs only.
-const FIRST_RANKS: usize = 3;
-
-/// Added for all others.
-const LATE_TURN: Millis = Millis(700);
-
-/// VMs that are no hubs begin in slots, those of a data centre spread over them.
-const WEAK_SLOTS: u64 = 16;
-
-/// The length of a slot.
-const WEAK_SLOT: Millis = Millis(140);
-
-/// The longest pause between calls of the first VMs to a store in trouble.
-const FIRST_PAUSE: Millis = Millis(800);
-
-/// The same for all others.
-const LATE_PAUSE: Millis = Millis(6_000);
-
 /// Taken off the age that another VM tells, for the time on the way.
 const TRANSIT: Millis = Millis(20);
 
@@ -76,56 +41,6 @@
 const PULL_INTERVAL: Millis = Millis(300);
 
 impl Steering {
-    /// Tells whether this VM reads a kind from the store: the first of the VMs
-    /// that hear each other does, and any VM whose knowledge is too old.
-    pub(super) fn reads(&self, kind: Kind, now: Time) -> bool {
-        let Some(age) = self.beliefs.age(kind, now) else {
-            return true;
-        };
-        self.turn(now)
-            .is_none_or(|turn| age > watch_time(kind) + READER_DELAY + turn)
-    }
-
-    /// How long this VM leaves reading to others once knowledge is too old.
-    /// `None` if it is the one that reads.
-    fn turn(&self, now: Time) -> Option<Millis> {
-        if !self.peers.is_hub() && self.peers.live(now).next().is_some() {
-            let slot = self.me.vm.hash64() % WEAK_SLOTS;
-            return Some(Millis(WEAK_SLOT.0 * slot));
-        }
-        match self.rank(now) {
-            0 => None,
-            rank if rank < FIRST_RANKS => Some(Millis(TURN.0 * rank as u64)),
-            _ => Some(LATE_TURN),
-        }
-    }
-
-    /// The longest pause of this VM between calls to a store in trouble.
-    pub(super) fn longest_pause(&self, now: Time) -> Millis {
-        let is_first = self.peers.is_hub() && self.rank(now) < FIRST_RANKS;
-        match is_first {
-            true => FIRST_PAUSE,
-            false => LATE_PAUSE,
-        }
-    }
-
-    /// The number of live VMs that come before this one. Those that the store
-    /// does not answer come last, and the weak after the strong.
-    pub(super) fn rank(&self, now: Time) -> usize {
-        let strength = Reverse(self.me.strength);
-        let mine = (self.is_stopping, !self.has_store(), strength, &self.me.vm);
-        self.peers
-            .live(now)
-            .map(|m| &m.heartbeat)
-            .filter(|h| (h.is_stopping, !h.has_store, Reverse(h.strength), &h.vm) < mine)
-            .count()
-    }
-
-    /// Tells whether the store answered the last calls of this VM.
-    pub(super) fn has_store(&self) -> bool {
-        self.readers.iter().all(Reader::was_answered)
-    }
-
     /// Takes in what was read of a kind, which the store had at `as_of` or
     /// later.
     pub(super) fn apply(
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -9,7 +9,7 @@
         Entry,
         Fitness, //
     },
-    flows::Sign,
+    flow::Sign,
     packet::{
         DropReason,
         Packet,
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -9,9 +9,14 @@
 use std::net::SocketAddrV4;
 
 use hashbrown::HashMap;
-use smallvec::SmallVec;
 
 use super::{
+    case::{
+        Case,
+        ENOUGH_REPORTS,
+        Evidence,
+        Probe, //
+    },
     packet::FlowId,
     tag::Tag, //
 };
@@ -20,15 +25,6 @@
     Time, //
 };
 
-/// Repeats on one flow that make a backend server suspect.
-const STRONG_REPEATS: u8 = 2;
-
-/// Flows with a repeat each that make a backend server suspect.
-const ENOUGH_FLOWS: usize = 2;
-
-/// VMs of this one's data centre on whose word a backend server is out of reach.
-const ENOUGH_REPORTS: usize = 2;
-
 /// How long evidence is kept.
 const EVIDENCE_TIME: Millis = Millis::from_secs(3);
 
@@ -38,19 +34,12 @@
 /// How many connections in a row have to time out.
 pub const PROBE_ATTEMPTS: usize = 2;
 
-/// The time between two probes of a backend server.
-const PROBE_INTERVAL: Millis = Millis::from_secs(1);
-
 /// The probes that a VM may send in a second.
 const PROBES_PER_SECOND: f64 = 200.0;
 
 /// The probes that it may send at once.
 const PROBE_BURST: f64 = 256.0;
 
-/// How long a backend server that accepted a connection is believed against
-/// other VMs.
-const TRUST_TIME: Millis = Millis::from_secs(3);
-
 /// What a probe found.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProbeOutcome {
@@ -78,65 +67,6 @@
     Dead,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Case {
-    /// The flows whose clients repeat themselves, with the last repeat's number.
-    ///
-    /// Invariant: at most [`ENOUGH_FLOWS`], the most repeated.
-    silent: SmallVec<[(FlowId, u8); ENOUGH_FLOWS]>,
-    last_evidence: Time,
-    probe: Probe,
-    /// Whether any other VM says that the backend server is dead.
-    reported: bool,
-    /// The VMs of this one's data centre that say so.
-    ///
-    /// Invariant: at most [`ENOUGH_REPORTS`], each once.
-    reported_beside: SmallVec<[SocketAddrV4; ENOUGH_REPORTS]>,
-    /// Whether its whole data centre may be out of reach.
-    place_in_doubt: bool,
-    /// Whether the flows that this VM placed there do not open.
-    unopened: bool,
-    dead: bool,
-}
-
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum Probe {
-    #[default]
-    NotAsked,
-    Asked {
-        since: Time,
-    },
-    Answered {
-        at: Time,
-        outcome: ProbeOutcome,
-    },
-}
-
-impl Probe {
-    /// When it was sent or answered; the start of time if neither.
-    fn at(self) -> Time {
-        match self {
-            Probe::NotAsked => Time::default(),
-            Probe::Asked { since: at } | Probe::Answered { at, .. } => at,
-        }
-    }
-}
-
-/// What speaks against a backend server.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Evidence {
-    /// The flows whose clients repeat themselves, as far as they are counted.
-    pub silent_flows: usize,
-    /// The most repeats among these.
-    pub repeats: u8,
-    /// What the last probe found.
-    pub probe: Option<ProbeOutcome>,
-    /// Whether another VM holds it for dead.
-    pub reported: bool,
-    /// Whether the flows that this VM placed there do not open.
-    pub unopened: bool,
-}
-
 /// The evidence against backend servers.
 #[derive(Debug)]
 pub struct Suspicion {
@@ -283,108 +213,3 @@
         });
     }
 }
-
-impl Case {
-    fn evidence(&self) -> Evidence {
-        let probe = match self.probe {
-            Probe::Answered { outcome, .. } => Some(outcome),
-            Probe::NotAsked | Probe::Asked { .. } => None,
-        };
-        Evidence {
-            silent_flows: self.silent.len(),
-            repeats: self.silent.iter().map(|(_, n)| *n).max().unwrap_or(0),
-            probe,
-            reported: self.reported,
-            unopened: self.unopened,
-        }
-    }
-
-    fn add(&mut self, flow: FlowId, repeats: u8) {
-        if let Some(known) = self.silent.iter_mut().find(|(id, _)| *id == flow) {
-            known.1 = known.1.max(repeats);
-            return;
-        }
-        if self.silent.len() < ENOUGH_FLOWS {
-            self.silent.push((flow, repeats));
-            return;
-        }
-        if let Some(weakest) = self.silent.iter_mut().min_by_key(|(_, n)| *n)
-            && weakest.1 < repeats
-        {
-            *weakest = (flow, repeats);
-        }
-    }
-
-    fn strong(&self) -> usize {
-        self.silent
-            .iter()
-            .filter(|(_, repeats)| *repeats >= STRONG_REPEATS)
-            .count()
-    }
-
-    /// Tells whether VMs that reach what this one does say that it is dead.
-    fn is_dead_beside(&self) -> bool {
-        self.reported_beside.len() >= ENOUGH_REPORTS
-    }
-
-    fn is_suspect(&self) -> bool {
-        self.reported || self.is_silent()
-    }
-
-    fn acquit(&mut self, now: Time) {
-        *self = Case {
-            probe: Probe::Answered {
-                at: now,
-                outcome: ProbeOutcome::Accepted,
-            },
-            last_evidence: now,
-            ..Case::default()
-        };
-    }
-
-    fn was_accepted_of_late(&self, now: Time) -> bool {
-        let was_accepted = |outcome| outcome == ProbeOutcome::Accepted;
-        matches!(self.probe, Probe::Answered { at, outcome }
-            if was_accepted(outcome) && now.since(at) < TRUST_TIME)
-    }
-
-    fn is_unreachable(&self) -> bool {
-        let failed = [ProbeOutcome::Refused, ProbeOutcome::TimedOut];
-        matches!(self.probe, Probe::Answered { outcome, .. } if failed.contains(&outcome))
-    }
-
-    /// Tells whether clients of this VM wait in vain.
-    fn is_silent(&self) -> bool {
-        self.unopened || self.silent.len() >= ENOUGH_FLOWS || self.strong() > 0
-    }
-
-    fn wants_probe(&self, concerns: impl Fn() -> bool, now: Time) -> bool {
-        let is_doubted = self.reported || self.place_in_doubt || self.is_unreachable();
-        let is_due = self.probe == Probe::NotAsked || now.since(self.probe.at()) >= PROBE_INTERVAL;
-        is_due && (self.is_silent() || (is_doubted && concerns()))
-    }
-
-    /// Returns whether the backend server has just turned out to be dead.
-    fn decide(&mut self) -> bool {
-        if self.dead {
-            return false;
-        }
-        self.dead = match self.probe {
-            Probe::Answered {
-                outcome: ProbeOutcome::Refused,
-                ..
-            } => self.place_in_doubt || self.reported || self.unopened || !self.silent.is_empty(),
-            Probe::Answered {
-                outcome: ProbeOutcome::TimedOut,
-                ..
-            } => {
-                self.place_in_doubt
-                    || self.is_silent()
-                    || self.is_dead_beside()
-                    || (self.reported && !self.silent.is_empty())
-            }
-            _ => false,
-        };
-        self.dead
-    }
-}
--- a/src/core/steering/takeover.rs
+++ b/src/core/steering/takeover.rs
@@ -12,10 +12,7 @@
     Steering,
     decision::Decision,
     directory::Directory,
-    packet::{
-        Reset,
-        ResetReason, //
-    },
+    packet::ResetReason,
     peers::{
         FlowRecord,
         PeerMessage,
@@ -160,18 +157,8 @@
             |place| taken_over.contains_key(place),
             |tag| is_over(&self.directory, &self.suspicion, tag),
         );
-        for record in over {
-            self.actions.push(Action::Reset(Reset {
-                flow: record.flow,
-                seq: record.ack,
-                reason: ResetReason::VmAndBackendLost,
-            }));
-            self.decisions.push(Decision::FlowReset {
-                flow: record.flow,
-                tag: record.tag,
-                reason: ResetReason::VmAndBackendLost,
-                configuration: self.routing.revision(),
-            });
+        for record in &over {
+            self.reset_flow(record, ResetReason::VmAndBackendLost);
         }
     }
 }
--- a/src/edge/steering/node.rs
+++ b/src/edge/steering/entry_vm.rs
@@ -60,7 +60,7 @@
 const STOP_MARGIN: Millis = Millis(800);
 
 /// What the tasks of the VM share. All run on one thread.
-pub struct Node<F> {
+pub struct EntryVm<F> {
     /// The names and forms of the platform.
     pub format: F,
     /// The settings.
@@ -79,13 +79,13 @@
     pub log: RefCell<DecisionLog>,
     /// Takes packets and sends them on.
     pub packets: UdpSocket,
-    /// Takes and sends heartbeats.
-    pub heartbeats: UdpSocket,
+    /// Takes and sends datagrams of other VMs.
+    pub peers: UdpSocket,
     /// When the last packet of a client arrived.
     pub last_packet: Cell<Time>,
 }
 
-impl<F: PlatformFormat + 'static> Node<F> {
+impl<F: PlatformFormat + 'static> EntryVm<F> {
     /// Binds all sockets and starts to serve.
     ///
     /// # Errors
@@ -95,7 +95,7 @@
         settings: SteeringSettings,
         format: F,
         lost_lines: ErrorCounter,
-    ) -> io::Result<Rc<Node<F>>> {
+    ) -> io::Result<Rc<EntryVm<F>>> {
         let clock = Clock::start();
         let me = Identity {
             vm: settings.vm.clone(),
@@ -105,7 +105,7 @@
             strength: settings.strength,
         };
         let rng_seed = me.vm.hash64() ^ me.incarnation.0;
-        let node = Rc::new(Node {
+        let vm = Rc::new(EntryVm {
             format,
             clock,
             steering: RefCell::new(Steering::open(me, &settings.seeds, rng_seed, clock.now())),
@@ -114,19 +114,19 @@
             lost_lines,
             log: RefCell::default(),
             packets: UdpSocket::bind(settings.packets).await?,
-            heartbeats: UdpSocket::bind(settings.peers).await?,
+            peers: UdpSocket::bind(settings.peers).await?,
             last_packet: Cell::new(Time::default()),
             settings,
         });
-        ready::spawn(&node).await?;
-        peers::spawn(&node).await?;
-        packets::spawn(&node);
+        ready::spawn(&vm).await?;
+        peers::spawn(&vm).await?;
+        packets::spawn(&vm);
         for kind in Kind::ALL {
-            store::spawn(&node, kind);
+            store::spawn(&vm, kind);
         }
-        store::spawn_registration(&node);
-        actix_rt::spawn(tick(Rc::clone(&node)));
-        Ok(node)
+        store::spawn_registration(&vm);
+        actix_rt::spawn(tick(Rc::clone(&vm)));
+        Ok(vm)
     }
 
     /// Takes in settings that changed. Addresses need a restart.
@@ -201,18 +201,18 @@
     }
 }
 
-async fn tick<F: PlatformFormat + 'static>(node: Rc<Node<F>>) {
-    let mut suspended = node.clock.suspended();
+async fn tick<F: PlatformFormat + 'static>(vm: Rc<EntryVm<F>>) {
+    let mut suspended = vm.clock.suspended();
     loop {
         sleep(Duration::from_millis(TICK.0)).await;
-        let before = std::mem::replace(&mut suspended, node.clock.suspended());
+        let before = std::mem::replace(&mut suspended, vm.clock.suspended());
         let span = suspended - before;
         if span > NOTICED_SUSPENSION {
             tracing::warn!(span_ms = span.0, "this VM was suspended");
-            node.steering.borrow_mut().on_suspension(span);
-            node.resumed.notify_waiters();
+            vm.steering.borrow_mut().on_suspension(span);
+            vm.resumed.notify_waiters();
         }
-        node.steering.borrow_mut().tick(node.clock.now());
-        node.act();
+        vm.steering.borrow_mut().tick(vm.clock.now());
+        vm.act();
     }
 }
--- a/src/edge/steering/packets.rs
+++ b/src/edge/steering/packets.rs
@@ -8,8 +8,8 @@
 };
 
 use super::{
+    entry_vm::EntryVm, //
     format::PlatformFormat,
-    node::Node, //
 };
 use crate::core::steering::packet::{
     Reset,
@@ -31,74 +31,74 @@
 }
 
 /// Starts to steer packets.
-pub fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) {
-    actix_rt::spawn(steer(Rc::clone(node)));
+pub fn spawn<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>) {
+    actix_rt::spawn(steer(Rc::clone(vm)));
 }
 
-async fn steer<F: PlatformFormat + 'static>(node: Rc<Node<F>>) {
+async fn steer<F: PlatformFormat + 'static>(vm: Rc<EntryVm<F>>) {
     let mut buf = vec![0; MAX_DATAGRAM];
-    wait_until_informed(&node).await;
+    wait_until_informed(&vm).await;
     loop {
-        if let Err(e) = node.packets.readable().await {
+        if let Err(e) = vm.packets.readable().await {
             tracing::warn!(error = %e, "cannot wait for packets");
         }
         for _ in 0..BATCH {
-            match node.packets.try_recv(&mut buf) {
-                Ok(len) => on_datagram(&node, &buf[..len]),
+            match vm.packets.try_recv(&mut buf) {
+                Ok(len) => on_datagram(&vm, &buf[..len]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => tracing::debug!(error = %e, "cannot take a packet"),
             }
         }
-        node.act();
+        vm.act();
         actix_rt::task::yield_now().await;
     }
 }
 
 /// Leaves packets in the socket's buffer until they can be steered, so that the
 /// first ones after a start are late instead of lost.
-async fn wait_until_informed<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) {
-    while !node.steering.borrow().is_informed() {
+async fn wait_until_informed<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>) {
+    while !vm.steering.borrow().is_informed() {
         actix_rt::time::sleep(INFORMED_PAUSE).await;
     }
 }
 
-fn on_datagram<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, datagram: &[u8]) {
-    let packet = match node.format.read_packet(datagram) {
+fn on_datagram<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>, datagram: &[u8]) {
+    let packet = match vm.format.read_packet(datagram) {
         Ok(packet) => packet,
         Err(e) => {
             tracing::debug!(error = %e, "a datagram was dropped");
-            node.metrics.count("malformed");
+            vm.metrics.count("malformed");
             return;
         }
     };
-    let now = node.clock.now();
-    node.last_packet.set(now);
-    let verdict = node.steering.borrow_mut().on_packet(&packet, now);
-    node.metrics.count_packet(&verdict);
+    let now = vm.clock.now();
+    vm.last_packet.set(now);
+    let verdict = vm.steering.borrow_mut().on_packet(&packet, now);
+    vm.metrics.count_packet(&verdict);
     match verdict {
         Verdict::Forward(target) => OUT.with_borrow_mut(|out| {
-            node.format.write_forward(datagram, &target, out);
-            send(node, out, target.address);
+            vm.format.write_forward(datagram, &target, out);
+            send(vm, out, target.address);
         }),
         Verdict::Reset(reason) => {
             let (flow, seq) = (packet.flow, packet.ack);
-            send_reset(node, &Reset { flow, seq, reason });
+            send_reset(vm, &Reset { flow, seq, reason });
         }
         Verdict::Drop(_) => {}
     }
 }
 
 /// Tells a client that its flow is over.
-pub fn send_reset<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, reset: &Reset) {
+pub fn send_reset<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>, reset: &Reset) {
     OUT.with_borrow_mut(|out| {
-        node.format.write_reset(reset, out);
-        send(node, out, node.client_address(reset.flow.client));
+        vm.format.write_reset(reset, out);
+        send(vm, out, vm.client_address(reset.flow.client));
     });
 }
 
-fn send<F>(node: &Node<F>, datagram: &[u8], to: std::net::SocketAddrV4) {
-    if let Err(e) = node.packets.try_send_to(datagram, to.into()) {
+fn send<F>(vm: &EntryVm<F>, datagram: &[u8], to: std::net::SocketAddrV4) {
+    if let Err(e) = vm.packets.try_send_to(datagram, to.into()) {
         tracing::debug!(error = %e, %to, "a packet could not be sent");
-        node.metrics.count("unsent");
+        vm.metrics.count("unsent");
     }
 }
--- a/src/edge/steering/peers.rs
+++ b/src/edge/steering/peers.rs
@@ -25,8 +25,8 @@
 };
 
 use super::{
+    entry_vm::EntryVm, //
     format::PlatformFormat,
-    node::Node, //
 };
 use crate::core::steering::peers::{
     PeerMessage,
@@ -49,17 +49,17 @@
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub async fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) -> io::Result<()> {
-    let listener = TcpListener::bind(node.settings.peers).await?;
-    actix_rt::spawn(listen(Rc::clone(node)));
-    actix_rt::spawn(give(Rc::clone(node), listener));
+pub async fn spawn<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>) -> io::Result<()> {
+    let listener = TcpListener::bind(vm.settings.peers).await?;
+    actix_rt::spawn(listen(Rc::clone(vm)));
+    actix_rt::spawn(give(Rc::clone(vm), listener));
     Ok(())
 }
 
-async fn listen<F: PlatformFormat + 'static>(node: Rc<Node<F>>) {
+async fn listen<F: PlatformFormat + 'static>(vm: Rc<EntryVm<F>>) {
     let mut buf = vec![0; MAX_DATAGRAM];
     loop {
-        let len = match node.heartbeats.recv(&mut buf).await {
+        let len = match vm.peers.recv(&mut buf).await {
             Ok(len) => len,
             Err(e) => {
                 tracing::debug!(error = %e, "cannot take a message of another VM");
@@ -68,9 +68,9 @@
         };
         match postcard::from_bytes::<PeerMessage>(&buf[..len]) {
             Ok(msg) => {
-                let now = node.clock.now();
-                node.steering.borrow_mut().on_message(msg, now);
-                node.act();
+                let now = vm.clock.now();
+                vm.steering.borrow_mut().on_message(msg, now);
+                vm.act();
             }
             Err(e) => {
                 tracing::warn!(error = %e, "a message of another VM cannot be read and was dropped");
@@ -80,13 +80,13 @@
 }
 
 /// Sends a heartbeat.
-pub fn send_heartbeat<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, to: SocketAddrV4) {
-    let heartbeat = node.steering.borrow_mut().heartbeat(to, node.clock.now());
-    send(node, to, &PeerMessage::Heartbeat(heartbeat));
+pub fn send_heartbeat<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>, to: SocketAddrV4) {
+    let heartbeat = vm.steering.borrow_mut().heartbeat(to, vm.clock.now());
+    send(vm, to, &PeerMessage::Heartbeat(heartbeat));
 }
 
 /// Sends a message to another VM.
-pub fn send<F: PlatformFormat + 'static>(node: &Node<F>, to: SocketAddrV4, msg: &PeerMessage) {
+pub fn send<F: PlatformFormat + 'static>(vm: &EntryVm<F>, to: SocketAddrV4, msg: &PeerMessage) {
     let datagram = match postcard::to_allocvec(msg) {
         Ok(datagram) => datagram,
         Err(e) => {
@@ -94,21 +94,25 @@
             return;
         }
     };
-    if let Err(e) = node.heartbeats.try_send_to(&datagram, to.into()) {
+    if let Err(e) = vm.peers.try_send_to(&datagram, to.into()) {
         tracing::debug!(error = %e, %to, "a message to another VM could not be sent");
     }
 }
 
 /// Asks another VM for what it knows.
-pub fn pull<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, from: SocketAddrV4, wants: Vec<Want>) {
-    let node = Rc::clone(node);
+pub fn pull<F: PlatformFormat + 'static>(
+    vm: &Rc<EntryVm<F>>,
+    from: SocketAddrV4,
+    wants: Vec<Want>,
+) {
+    let vm = Rc::clone(vm);
     actix_rt::spawn(async move {
         let request = SnapshotRequest { wants };
         match timeout(PULL_TIMEOUT, fetch(from, &request)).await {
             Ok(Ok(snapshot)) => {
-                let now = node.clock.now();
-                node.steering.borrow_mut().on_snapshot(snapshot, now);
-                node.act();
+                let now = vm.clock.now();
+                vm.steering.borrow_mut().on_snapshot(snapshot, now);
+                vm.act();
             }
             Ok(Err(e)) => tracing::info!(error = %e, %from, "another VM gave no snapshot"),
             Err(_) => tracing::info!(%from, "another VM gave no snapshot in time"),
@@ -122,11 +126,11 @@
     read_message(&mut stream).await
 }
 
-async fn give<F: PlatformFormat + 'static>(node: Rc<Node<F>>, listener: TcpListener) {
+async fn give<F: PlatformFormat + 'static>(vm: Rc<EntryVm<F>>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                actix_rt::spawn(give_one(Rc::clone(&node), stream));
+                actix_rt::spawn(give_one(Rc::clone(&vm), stream));
             }
             Err(e) => {
                 tracing::warn!(error = %e, "cannot take a connection of another VM");
@@ -136,10 +140,10 @@
     }
 }
 
-async fn give_one<F: PlatformFormat + 'static>(node: Rc<Node<F>>, mut stream: TcpStream) {
+async fn give_one<F: PlatformFormat + 'static>(vm: Rc<EntryVm<F>>, mut stream: TcpStream) {
     let work = async {
         let request: SnapshotRequest = read_message(&mut stream).await?;
-        let snapshot = node.steering.borrow().snapshot(&request, node.clock.now());
+        let snapshot = vm.steering.borrow().snapshot(&request, vm.clock.now());
         write_message(&mut stream, &snapshot).await
     };
     match timeout(PULL_TIMEOUT, work).await {
--- a/src/edge/steering/probes.rs
+++ b/src/edge/steering/probes.rs
@@ -16,8 +16,8 @@
 };
 
 use super::{
+    entry_vm::EntryVm, //
     format::PlatformFormat,
-    node::Node, //
 };
 use crate::{
     core::steering::{
@@ -39,15 +39,15 @@
 const MOST_LATE: Millis = Millis(60);
 
 /// Probes a backend server.
-pub fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, tag: Tag, address: SocketAddrV4) {
-    let node = Rc::clone(node);
+pub fn spawn<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>, tag: Tag, address: SocketAddrV4) {
+    let vm = Rc::clone(vm);
     actix_rt::spawn(async move {
-        let outcome = probe(node.clock, address).await;
+        let outcome = probe(vm.clock, address).await;
         tracing::info!(backend = %tag, %address, ?outcome, "a backend server was probed");
-        node.metrics.count_probe(outcome);
-        let now = node.clock.now();
-        node.steering.borrow_mut().on_probe(tag, outcome, now);
-        node.act();
+        vm.metrics.count_probe(outcome);
+        let now = vm.clock.now();
+        vm.steering.borrow_mut().on_probe(tag, outcome, now);
+        vm.act();
     });
 }
 
--- a/src/edge/steering/ready.rs
+++ b/src/edge/steering/ready.rs
@@ -22,8 +22,8 @@
 };
 
 use super::{
+    entry_vm::EntryVm, //
     format::PlatformFormat,
-    node::Node, //
 };
 
 /// Where the metrics are.
@@ -37,9 +37,9 @@
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub async fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) -> io::Result<()> {
-    let probes = TcpListener::bind(node.settings.ready).await?;
-    let answering = Rc::clone(node);
+pub async fn spawn<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>) -> io::Result<()> {
+    let probes = TcpListener::bind(vm.settings.ready).await?;
+    let answering = Rc::clone(vm);
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
         .h1(fn_service(move |req: Request| {
@@ -55,12 +55,12 @@
     let service = Rc::new(service);
     actix_rt::spawn(accept(probes, Rc::clone(&service)));
     // A VM that cannot show metrics steers all the same.
-    match TcpListener::bind(node.settings.metrics).await {
+    match TcpListener::bind(vm.settings.metrics).await {
         Ok(metrics) => {
             actix_rt::spawn(accept(metrics, service));
         }
         Err(e) => tracing::error!(
-            address = %node.settings.metrics,
+            address = %vm.settings.metrics,
             error = %e,
             "the metrics cannot be shown; choose another [listen] metrics"
         ),
@@ -90,26 +90,22 @@
     }
 }
 
-fn answer<F: PlatformFormat>(node: &Node<F>, req: &Request) -> Response<String> {
+fn answer<F: PlatformFormat>(vm: &EntryVm<F>, req: &Request) -> Response<String> {
     if req.path() == METRICS_PATH {
-        return Response::new(StatusCode::OK).set_body(metrics(node));
+        return Response::new(StatusCode::OK).set_body(metrics(vm));
     }
-    if req.path() != node.format.readiness_path() {
-        let text = format!(
-            "ask for {} or {METRICS_PATH}\n",
-            node.format.readiness_path()
-        );
+    if req.path() != vm.format.readiness_path() {
+        let text = format!("ask for {} or {METRICS_PATH}\n", vm.format.readiness_path());
         return Response::new(StatusCode::NOT_FOUND).set_body(text);
     }
-    if node.steering.borrow().is_ready() {
+    if vm.steering.borrow().is_ready() {
         return Response::new(StatusCode::OK).set_body("ready\n".to_owned());
     }
     Response::new(StatusCode::SERVICE_UNAVAILABLE).set_body("not ready\n".to_owned())
 }
 
-fn metrics<F>(node: &Node<F>) -> String {
-    let lost_lines = node.lost_lines.dropped_lines();
-    let now = node.clock.now();
-    node.metrics
-        .encode(&node.steering.borrow(), lost_lines, now)
+fn metrics<F>(vm: &EntryVm<F>) -> String {
+    let lost_lines = vm.lost_lines.dropped_lines();
+    let now = vm.clock.now();
+    vm.metrics.encode(&vm.steering.borrow(), lost_lines, now)
 }
--- a/src/edge/steering/store.rs
+++ b/src/edge/steering/store.rs
@@ -22,12 +22,12 @@
 };
 
 use super::{
+    entry_vm::EntryVm, //
     format::{
         Method,
         PlatformFormat,
         StoreRequest, //
     },
-    node::Node, //
 };
 use crate::{
     core::steering::{
@@ -54,14 +54,14 @@
 const MAX_ANSWER: usize = 8 << 20;
 
 /// Starts to follow one kind of object.
-pub fn spawn<F: PlatformFormat + 'static>(node: &Rc<Node<F>>, kind: Kind) {
-    actix_rt::spawn(follow(Rc::clone(node), kind));
+pub fn spawn<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>, kind: Kind) {
+    actix_rt::spawn(follow(Rc::clone(vm), kind));
 }
 
-async fn follow<F: PlatformFormat + 'static>(node: Rc<Node<F>>, kind: Kind) {
+async fn follow<F: PlatformFormat + 'static>(vm: Rc<EntryVm<F>>, kind: Kind) {
     let mut client = connect();
     loop {
-        let step = node.steering.borrow_mut().next_call(kind, node.clock.now());
+        let step = vm.steering.borrow_mut().next_call(kind, vm.clock.now());
         let call = match step {
             Step::Wait(span) => {
                 sleep(Duration::from_millis(span.0)).await;
@@ -69,17 +69,15 @@
             }
             Step::Call(call) => call,
         };
-        let sent = node.clock.now();
-        let answer = answer(&node, &client, &call).await;
+        let sent = vm.clock.now();
+        let answer = answer(&vm, &client, &call).await;
         if answer == StoreAnswer::NoAnswer {
             // The connection may have gone silent; the next call gets another.
             client = connect();
         }
-        let now = node.clock.now();
-        node.steering
-            .borrow_mut()
-            .on_answer(&call, answer, sent, now);
-        node.act();
+        let now = vm.clock.now();
+        vm.steering.borrow_mut().on_answer(&call, answer, sent, now);
+        vm.act();
     }
 }
 
@@ -92,37 +90,37 @@
 }
 
 /// Starts to tell the store where VMs may be found, and to look that up.
-pub fn spawn_registration<F: PlatformFormat + 'static>(node: &Rc<Node<F>>) {
-    actix_rt::spawn(register(Rc::clone(node)));
+pub fn spawn_registration<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>) {
+    actix_rt::spawn(register(Rc::clone(vm)));
 }
 
-async fn register<F: PlatformFormat + 'static>(node: Rc<Node<F>>) {
+async fn register<F: PlatformFormat + 'static>(vm: Rc<EntryVm<F>>) {
     loop {
         sleep(REGISTRATION_PAUSE).await;
-        let now = node.clock.now();
-        let call = node.steering.borrow_mut().next_registration(now);
+        let now = vm.clock.now();
+        let call = vm.steering.borrow_mut().next_registration(now);
         let Some(call) = call else {
             continue;
         };
-        let answer = answer(&node, &connect(), &call).await;
-        let now = node.clock.now();
-        node.steering.borrow_mut().on_registration(answer, now);
+        let answer = answer(&vm, &connect(), &call).await;
+        let now = vm.clock.now();
+        vm.steering.borrow_mut().on_registration(answer, now);
     }
 }
 
 async fn answer<F: PlatformFormat>(
-    node: &Node<F>,
+    vm: &EntryVm<F>,
     client: &Client,
     call: &StoreCall,
 ) -> StoreAnswer {
-    let request = node.format.store_request(call);
+    let request = vm.format.store_request(call);
     let limit = Duration::from_millis((ANSWER_TIMEOUT + call.wait()).0);
     let subject = call.subject();
-    let sending = Box::pin(send(client, node.settings.store, request));
-    let ended = select(sending, Box::pin(node.resumed.notified()));
+    let sending = Box::pin(send(client, vm.settings.store, request));
+    let ended = select(sending, Box::pin(vm.resumed.notified()));
     let answer = match timeout(limit, ended).await {
         Ok(Either::Right(_)) => StoreAnswer::NoAnswer,
-        Ok(Either::Left((Ok((status, body)), _))) => node.format.read_answer(call, status, &body),
+        Ok(Either::Left((Ok((status, body)), _))) => vm.format.read_answer(call, status, &body),
         Ok(Either::Left((Err(e), _))) => {
             tracing::debug!(subject, error = %e, "the store gave no answer");
             StoreAnswer::NoAnswer
@@ -132,7 +130,7 @@
             StoreAnswer::NoAnswer
         }
     };
-    node.metrics.count_call(subject, &answer);
+    vm.metrics.count_call(subject, &answer);
     answer
 }
 
