--- a/src/edge/steering/entry_vm.rs
+++ b/src/edge/steering/entry_vm.rs
@@ -101,7 +101,7 @@
             vm: settings.vm.clone(),
             incarnation: Incarnation(clock.wall().0),
             data_centre: settings.data_centre.clone(),
-            address: settings.peers,
+            address: settings.announced,
             strength: settings.strength,
         };
         let rng_seed = me.vm.hash64() ^ me.incarnation.0;
--- a/src/settings/steering.rs
+++ b/src/settings/steering.rs
@@ -8,9 +8,10 @@
 //! | `[listen]` | `packets` | required | UDP, packets of clients; clients listen on the same port |
 //! | `[listen]` | `ready` | required | TCP, HTTP readiness probe |
 //! | `[listen]` | `peers` | required | TCP and UDP, messages of other VMs |
+//! | `[listen]` | `announced` | `peers` | where other VMs reach `peers`, if it is another address |
 //! | `[listen]` | `metrics` | required | TCP, HTTP `/metrics` |
 //! | `[store]` | `address` | required | TCP, the HTTP address of the platform's store |
-//! | `[seeds]` | `addresses` | none | other VMs, `IP:PORT,..`; the port of `peers` is used |
+//! | `[seeds]` | `addresses` | none | other VMs, `IP:PORT,..`; the port of `announced` is used |
 //! | `[stop]` | `seconds` | 6 | how long a planned stop may take |
 //!
 //! `[log]` and `[log-levels]` are those of every entry VM.
@@ -64,6 +65,8 @@
     pub ready: SocketAddrV4,
     /// The TCP and UDP address for messages of other VMs.
     pub peers: SocketAddrV4,
+    /// The address that other VMs send these messages to.
+    pub announced: SocketAddrV4,
     /// The HTTP address of the metrics.
     pub metrics: SocketAddrV4,
     /// The HTTP address of the platform's store.
@@ -105,12 +108,16 @@
     let packets = rx.required("listen", "packets", ADDRESS_REMEDY, parse_address);
     let ready = rx.required("listen", "ready", ADDRESS_REMEDY, parse_address);
     let peers = rx.required("listen", "peers", ADDRESS_REMEDY, parse_address);
+    let announced = rx.optional("listen", "announced", None, ADDRESS_REMEDY, |text| {
+        parse_address(text).map(Some)
+    });
     let metrics = rx.required("listen", "metrics", ADDRESS_REMEDY, parse_address);
     let store = rx.required("store", "address", ADDRESS_REMEDY, parse_address);
     let seeds = rx.optional("seeds", "addresses", Vec::new(), SEEDS_REMEDY, parse_seeds);
     let stop_time = rx.optional("stop", "seconds", DEFAULT_STOP, STOP_REMEDY, parse_seconds);
     let log = log::read(rx);
     let (vm, peers) = (vm?, peers?);
+    let announced = announced.unwrap_or(peers);
     Some(SteeringSettings {
         vm: vm.name,
         data_centre: vm.data_centre,
@@ -118,11 +125,12 @@
         packets: packets?,
         ready: ready?,
         peers,
+        announced,
         metrics: metrics?,
         store: store?,
         seeds: seeds
             .iter()
-            .map(|seed| SocketAddrV4::new(*seed.ip(), peers.port()))
+            .map(|seed| SocketAddrV4::new(*seed.ip(), announced.port()))
             .collect(),
         stop_time,
         log,
--- a/testkit/src/process/mod.rs
+++ b/testkit/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod address;
 pub mod child;
 pub mod http;
+pub mod proxy;
 pub mod steering;
 pub mod system;
 pub mod users_platform;
