Count only clients that come after their VM fell silent, and probe anew

Cause: the clients of wrecsam, which had lost power before, were spread by the routers over both, so that the VMs of abertawe saw clients of a VM of caerdydd and took that for its end; and the probes that had failed because of the cut counted.

Change: a client that turned up while its VM was heard shows nothing for 60 s; the VM has to be silent for 0.8 s; and the backend server has to fail a probe that was sent after the routers' choice was noticed.

--- a/src/core/steering/case.rs
+++ b/src/core/steering/case.rs
@@ -49,6 +49,8 @@
     /// Whether the flows that this VM placed there do not open.
     pub(super) unopened: bool,
     pub(super) dead: bool,
+    /// Whether it is to be probed now, however long ago it was.
+    pub(super) is_due: bool,
 }
 
 /// The last probe of a backend server.
@@ -66,6 +68,11 @@
 }
 
 impl Probe {
+    /// Tells whether it was answered, or failed, after `since`.
+    pub(super) fn answered_after(self, since: Time) -> bool {
+        matches!(self, Probe::Answered { at, .. } if at > since)
+    }
+
     /// When it was sent or answered; the start of time if neither.
     pub(super) fn at(self) -> Time {
         match self {
@@ -166,7 +173,9 @@
 
     pub(super) fn wants_probe(&self, concerns: impl Fn() -> bool, now: Time) -> bool {
         let is_doubted = self.reported || self.place_in_doubt || self.is_unreachable();
-        let is_due = self.probe == Probe::NotAsked || now.since(self.probe.at()) >= PROBE_INTERVAL;
+        let is_due = self.is_due
+            || self.probe == Probe::NotAsked
+            || now.since(self.probe.at()) >= PROBE_INTERVAL;
         is_due && (self.is_silent() || (is_doubted && concerns()))
     }
 
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -145,6 +145,7 @@
         for place in &heartbeat.taken_over {
             self.note_taken_over(place, false, now);
         }
+        self.replicas.hear(heartbeat.address, now);
         let (from, loads) = (heartbeat.address, heartbeat.loads.clone());
         let wanted = self.compare(&heartbeat.beliefs, now);
         let sender = heartbeat.contact();
--- a/src/core/steering/replicas.rs
+++ b/src/core/steering/replicas.rs
@@ -18,6 +18,7 @@
 };
 
 use hashbrown::HashMap;
+use smallvec::SmallVec;
 
 use super::{
     flow_changes::REFRESH,
@@ -51,6 +52,13 @@
 /// How long a client that turned up here counts.
 const TURNED_UP_FOR: Millis = Millis::from_secs(3);
 
+/// A VM that was not heard for this long may be lost.
+const SILENT_AFTER: Millis = Millis(800);
+
+/// How long a client that turned up here while its VM was heard shows nothing.
+/// The routers may spread the clients of a third data centre over both.
+const ROAMS_FOR: Millis = Millis::from_secs(60);
+
 #[derive(Clone, Copy, Debug)]
 struct Replica {
     tag: Tag,
@@ -74,8 +82,13 @@
     ///
     /// Invariant: the sum is the number of `flows`; none is zero.
     clients: HashMap<Ipv4Addr, u32>,
-    /// The clients that turned up at this VM, and when.
+    /// When the VM was heard last.
+    heard: Time,
+    /// The clients that turned up at this VM since the owner was heard last, and
+    /// when.
     turned_up: HashMap<Ipv4Addr, Time>,
+    /// The clients that did so before.
+    roaming: HashMap<Ipv4Addr, Time>,
 }
 
 /// The replicas that this VM keeps.
@@ -111,6 +124,7 @@
         if batch.incarnation < owner.incarnation {
             return Vec::new();
         }
+        owner.hear(now);
         let has_restarted = batch.incarnation > owner.incarnation;
         if !has_restarted && batch.number <= owner.number {
             return Vec::new();
@@ -127,26 +141,40 @@
         carried
     }
 
-    /// Notes that the routers sent a client here. Returns the data centre of the
-    /// client if that shows that it has no VM left.
-    pub fn turn_up(&mut self, client: Ipv4Addr, now: Time) -> Option<DataCentreId> {
-        self.owners
-            .values_mut()
-            .find_map(|owner| owner.turn_up(client, now))
+    /// Notes that a VM was heard.
+    pub fn hear(&mut self, vm: SocketAddrV4, now: Time) {
+        if let Some(owner) = self.owners.get_mut(&vm) {
+            owner.hear(now);
+        }
+    }
+
+    /// Notes that the routers sent a client here.
+    pub fn turn_up(&mut self, client: Ipv4Addr, now: Time) {
+        for owner in self.owners.values_mut() {
+            owner.turn_up(client, now);
+        }
+    }
+
+    /// The data centres whose clients have left them, as far as seen here.
+    pub fn left(&self, now: Time) -> SmallVec<[DataCentreId; 2]> {
+        let left = self.owners.values().filter(|owner| owner.is_left(now));
+        left.map(|owner| owner.data_centre.clone()).collect()
     }
 
-    /// Removes and returns the flows of VMs in a data centre `is_left` that
-    /// `is_over` says are over.
+    /// Removes and returns the flows that `is_over` says are over since its
+    /// data centre was left by its clients, as `left_since` tells.
     pub fn take_over(
         &mut self,
-        is_left: impl Fn(&DataCentreId) -> bool,
-        is_over: impl Fn(Tag) -> bool,
+        left_since: impl Fn(&DataCentreId) -> Option<Time>,
+        is_over: impl Fn(Tag, Time) -> bool,
     ) -> Vec<FlowRecord> {
         let mut taken = Vec::new();
-        let left = self.owners.values_mut();
-        for owner in left.filter(|o| is_left(&o.data_centre)) {
+        for owner in self.owners.values_mut() {
+            let Some(since) = left_since(&owner.data_centre) else {
+                continue;
+            };
             let over = owner.records().into_iter();
-            for record in over.filter(|r| r.tag.is_some_and(&is_over)) {
+            for record in over.filter(|r| r.tag.is_some_and(|tag| is_over(tag, since))) {
                 owner.remove(&record.flow);
                 taken.push(record);
             }
@@ -172,7 +200,9 @@
             flows: HashMap::new(),
             tags: HashMap::new(),
             clients: HashMap::new(),
+            heard: Time::default(),
             turned_up: HashMap::new(),
+            roaming: HashMap::new(),
         }
     }
 
@@ -212,18 +242,29 @@
         self.flows.iter().map(record).collect()
     }
 
-    fn turn_up(&mut self, client: Ipv4Addr, now: Time) -> Option<DataCentreId> {
-        if !self.clients.contains_key(&client) {
-            return None;
+    fn hear(&mut self, now: Time) {
+        self.heard = now;
+        self.roaming.extend(self.turned_up.drain());
+    }
+
+    fn turn_up(&mut self, client: Ipv4Addr, now: Time) {
+        if self.clients.contains_key(&client) && !self.roaming.contains_key(&client) {
+            self.turned_up.insert(client, now);
         }
-        self.turned_up.insert(client, now);
-        self.turned_up
-            .retain(|_, at| now.since(*at) < TURNED_UP_FOR);
+    }
+
+    /// Tells whether its clients have left the VM since it fell silent.
+    fn is_left(&self, now: Time) -> bool {
+        let is_recent = |at: &&Time| now.since(**at) < TURNED_UP_FOR;
+        let turned_up = self.turned_up.values().filter(is_recent).count();
         let enough = MIN_CLIENTS.max(self.clients.len() / CLIENT_SHARE);
-        (self.turned_up.len() >= enough).then(|| self.data_centre.clone())
+        turned_up >= enough && now.since(self.heard) >= SILENT_AFTER
     }
 
     fn sweep(&mut self, lifetime: Millis, now: Time) {
+        self.roaming.retain(|_, at| now.since(*at) < ROAMS_FOR);
+        self.turned_up
+            .retain(|_, at| now.since(*at) < TURNED_UP_FOR);
         let old: Vec<FlowId> = self
             .flows
             .iter()
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -60,7 +60,7 @@
         if !self.is_informed() {
             return Verdict::Drop(DropReason::NoConfiguration);
         }
-        self.note_client(*packet.flow.client.ip(), now);
+        self.replicas.turn_up(*packet.flow.client.ip(), now);
         if !self.routing.has_route(packet.flow.service) {
             return Verdict::Reset(ResetReason::NoRoute);
         }
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -200,11 +200,27 @@
         for (_, _, tag) in &due {
             if let Some(case) = self.cases.get_mut(tag) {
                 case.probe = Probe::Asked { since: now };
+                case.is_due = false;
             }
         }
         due.into_iter().map(|(_, _, tag)| tag).collect()
     }
 
+    /// Has a doubted backend server probed anew.
+    pub fn probe_again(&mut self, tag: Tag) {
+        if let Some(case) = self.cases.get_mut(&tag) {
+            case.is_due = true;
+        }
+    }
+
+    /// Tells whether the last probe of a backend server was answered, or failed,
+    /// after `since`.
+    pub fn probed_after(&self, tag: Tag, since: Time) -> bool {
+        self.cases
+            .get(&tag)
+            .is_some_and(|case| case.probe.answered_after(since))
+    }
+
     /// Drops evidence that was not renewed, unless probes renew it.
     pub fn sweep(&mut self, concerns: impl Fn(Tag) -> bool, now: Time) {
         self.cases.retain(|tag, case| {
--- a/src/core/steering/takeover.rs
+++ b/src/core/steering/takeover.rs
@@ -1,9 +1,6 @@
 //! Speaking for VMs that were lost together with their backend servers.
 
-use std::net::{
-    Ipv4Addr,
-    SocketAddrV4, //
-};
+use std::net::SocketAddrV4;
 
 use hashbrown::HashMap;
 
@@ -43,7 +40,14 @@
     /// As this VM saw.
     seen: HashMap<DataCentreId, Time>,
     /// As this VM saw or was told.
-    known: HashMap<DataCentreId, Time>,
+    known: HashMap<DataCentreId, Known>,
+}
+
+/// A data centre whose clients the routers send elsewhere.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    since: Time,
+    last: Time,
 }
 
 impl TakenOver {
@@ -53,7 +57,16 @@
         if is_seen {
             self.seen.insert(place.clone(), now);
         }
-        self.known.insert(place.clone(), now).is_none()
+        if let Some(known) = self.known.get_mut(place) {
+            known.last = now;
+            return false;
+        }
+        let known = Known {
+            since: now,
+            last: now,
+        };
+        self.known.insert(place.clone(), known);
+        true
     }
 
     /// What other VMs are told.
@@ -63,7 +76,7 @@
 
     fn sweep(&mut self, now: Time) {
         self.seen.retain(|_, at| now.since(*at) < VALID_FOR);
-        self.known.retain(|_, at| now.since(*at) < VALID_FOR);
+        self.known.retain(|_, k| now.since(k.last) < VALID_FOR);
     }
 }
 
@@ -123,13 +136,6 @@
         self.actions.push(Action::Tell { to, msg });
     }
 
-    /// Notes that the routers sent a client here.
-    pub(super) fn note_client(&mut self, client: Ipv4Addr, now: Time) {
-        if let Some(place) = self.replicas.turn_up(client, now) {
-            self.note_taken_over(&place, true, now);
-        }
-    }
-
     /// Notes that the routers send the clients of a data centre to others.
     pub(super) fn note_taken_over(&mut self, place: &DataCentreId, is_seen: bool, now: Time) {
         if *place == self.me.data_centre || !self.taken_over.note(place, is_seen, now) {
@@ -139,8 +145,12 @@
             data_centre: place.clone(),
             replicas: self.replicas.len(),
         });
-        // Its backend servers may be lost with its VMs.
+        // Its backend servers may be lost with its VMs. What was found out
+        // before, perhaps during a cut, does not count.
         self.doubt_place(place, now);
+        for tag in self.backends_in(place) {
+            self.suspicion.probe_again(tag);
+        }
         if is_seen {
             self.peers.hurry(now);
         }
@@ -148,14 +158,17 @@
 
     /// Tells clients of data centres without VMs that their flows are over.
     pub(super) fn speak_for_lost(&mut self, now: Time) {
+        for place in self.replicas.left(now) {
+            self.note_taken_over(&place, true, now);
+        }
         self.taken_over.sweep(now);
         if self.taken_over.known.is_empty() || self.replicas.is_empty() {
             return;
         }
         let taken_over = &self.taken_over.known;
         let over: Vec<FlowRecord> = self.replicas.take_over(
-            |place| taken_over.contains_key(place),
-            |tag| is_over(&self.directory, &self.suspicion, tag),
+            |place| taken_over.get(place).map(|known| known.since),
+            |tag, since| is_over(&self.directory, &self.suspicion, tag, since),
         );
         for record in &over {
             self.reset_flow(record, ResetReason::VmAndBackendLost);
@@ -163,10 +176,11 @@
     }
 }
 
-/// Tells whether the flows of a backend server are over.
-fn is_over(directory: &Directory, suspicion: &Suspicion, tag: Tag) -> bool {
+/// Tells whether the flows of a backend server are over, as seen after `since`.
+fn is_over(directory: &Directory, suspicion: &Suspicion, tag: Tag, since: Time) -> bool {
     let Some(entry) = directory.entry(tag) else {
         return false;
     };
-    !entry.may_live() || suspicion.standing(tag) == Standing::Dead
+    let is_dead = suspicion.standing(tag) == Standing::Dead;
+    !entry.may_live() || (is_dead && suspicion.probed_after(tag, since))
 }
--- a/testkit/src/process/users_platform.rs
+++ b/testkit/src/process/users_platform.rs
@@ -331,6 +331,7 @@
     socket: UdpSocket,
     ip: Ipv4Addr,
     service: SocketAddrV4,
+    unasked: Mutex<Vec<u16>>,
 }
 
 /// What came back for data on a flow.
@@ -369,9 +370,16 @@
             socket,
             ip: *address.ip(),
             service,
+            unasked: Mutex::default(),
         }
     }
 
+    /// Takes the resets that came for flows on which nothing was asked, as the
+    /// ports of the flows.
+    pub fn take_unasked_resets(&self) -> Vec<u16> {
+        std::mem::take(&mut lock(&self.unasked))
+    }
+
     /// Opens a flow through the VM at `vm`. `None` if it was reset or nothing
     /// came.
     pub fn connect(&self, vm: SocketAddr, port: u16) -> Option<Flow> {
@@ -438,6 +446,9 @@
             if reply.to == packet.from {
                 return Some(reply);
             }
+            if let Some(to) = reply.to.filter(|_| reply.flags & flag::RST != 0) {
+                lock(&self.unasked).push(to.port());
+            }
         }
     }
 }
--- a/tests/soak_steer.rs
+++ b/tests/soak_steer.rs
@@ -28,6 +28,7 @@
         Flow,
         Reply, //
     },
+    wait_until,
 };
 use rand::{
     Rng,
@@ -43,11 +44,14 @@
 const VMS: u8 = 3;
 const BACKENDS: u32 = 4;
 const FLOWS: u16 = 24;
-const ROUNDS: usize = 25;
+const ROUNDS: usize = 30;
 
 /// How long a change may take to be in force, on a busy machine.
 const IN_FORCE: Duration = Duration::from_secs(5);
 
+/// New flows in a row that show where flows go.
+const NEW_FLOWS: usize = 40;
+
 /// The tries of a client with one piece of data, through any VM that runs.
 const TRIES: usize = 12;
 
@@ -94,22 +98,22 @@
     /// One fault or change.
     fn disturb(&mut self) {
         let at = self.rng.random_range(0..self.vms());
-        match self.rng.random_range(0..13) {
+        match self.rng.random_range(0..16) {
             0 => self.kill(at),
             1 => self.stop(at),
-            2 if self.frozen.is_empty() => {
+            2 | 3 if self.frozen.is_empty() => {
                 self.signal(at, Signal::Stop);
                 self.frozen.insert(at);
             }
-            3 => self.thaw(),
-            4 => self.system.store.set_down(true),
-            5 => self.system.store.set_down(false),
-            6 => self.drain(),
-            7 => self.harm_store_link(at),
-            8 => self.harm_peers_link(at),
-            9 => self.heal(),
-            10 => self.system.vms[at].store_link.reset(),
-            11 => self.system.vms[at].peers_link.reset(),
+            4 => self.thaw(),
+            5 => self.system.store.set_down(true),
+            6 => self.system.store.set_down(false),
+            7 => self.drain(),
+            8 | 9 => self.harm_store_link(at),
+            10 | 11 => self.harm_peers_link(at),
+            12 => self.heal(),
+            13 => self.system.vms[at].store_link.reset(),
+            14 => self.system.vms[at].peers_link.reset(),
             _ => {
                 self.version += self.rng.random_range(1..5_u64);
                 self.system.configure(self.version, true);
@@ -204,6 +208,8 @@
             self.ask(flow, name);
         }
         self.flows = flows;
+        // All backend servers live.
+        assert_eq!(self.system.client.take_unasked_resets(), [0; 0]);
     }
 
     fn ask(&mut self, flow: &mut Flow, name: &str) {
@@ -251,10 +257,37 @@
         self.flows.remove(0);
     }
 
+    /// Drains a backend server and waits until no VM sends it a new flow.
+    fn expect_a_drain_in_force(&mut self) {
+        if self.draining.is_none() {
+            self.drain();
+        }
+        let Some((drained, _)) = self.draining else {
+            return;
+        };
+        let drained = self.system.backends[drained].name.clone();
+        wait_until("the drain is in force", IN_FORCE, || {
+            let takes_none = |_| self.open_one().is_none_or(|name| name != drained);
+            (0..NEW_FLOWS).all(takes_none)
+        });
+    }
+
+    /// Opens a flow through any VM and returns its backend server.
+    fn open_one(&mut self) -> Option<String> {
+        self.port += 1;
+        let at = self.rng.random_range(0..self.vms());
+        let vm = self.system.vm(at);
+        let mut flow = self.system.client.connect(vm, self.port)?;
+        match self.system.client.ask(vm, &mut flow) {
+            Reply::Answer(name) => Some(name),
+            Reply::Reset | Reply::Nothing => None,
+        }
+    }
+
     fn play(mut self) {
         for _ in 0..ROUNDS {
             self.disturb();
-            let pause = self.rng.random_range(0..150);
+            let pause = self.rng.random_range(0..500);
             thread::sleep(Duration::from_millis(pause));
             self.ask_all();
             self.open();
@@ -263,6 +296,8 @@
         self.heal();
         self.system.store.set_down(false);
         self.ask_all();
+        self.expect_a_drain_in_force();
+        self.ask_all();
     }
 }
 
--- a/tests/steering_replicas.rs
+++ b/tests/steering_replicas.rs
@@ -117,15 +117,7 @@
 fn flows_of_a_data_centre_that_is_only_cut_off_are_left_alone() {
     let (mut world, tags) = world();
     let opened = open_all(&mut world, 2, 0..12);
-    for inside in [2, 3] {
-        for outside in [0, 1, 4, 5] {
-            world
-                .cuts
-                .insert((inside.min(outside), inside.max(outside)));
-        }
-    }
-    silence(&mut world, 0..2, &tags[3..6]);
-    silence(&mut world, 4..6, &tags[3..6]);
+    cut_off(&mut world, &tags);
     world.run(Millis(6_000));
     assert_eq!(resets_of(&world, &opened), 0);
 }
@@ -260,3 +252,52 @@
     world.run(Millis(17_000) + REFRESH);
     assert_eq!(replicas(&mut world), 0);
 }
+
+/// Cuts the second data centre from the others.
+fn cut_off(world: &mut World, tags: &[Tag]) {
+    for inside in [2, 3] {
+        for outside in [0, 1, 4, 5] {
+            world
+                .cuts
+                .insert((inside.min(outside), inside.max(outside)));
+        }
+    }
+    silence(world, 0..2, &tags[3..6]);
+    silence(world, 4..6, &tags[3..6]);
+}
+
+#[test]
+fn clients_that_the_routers_spread_over_two_data_centres_show_nothing_about_one_of_them() {
+    let (mut world, tags) = world();
+    // The clients of a third data centre, whose VMs are lost.
+    let opened = open_all(&mut world, 2, 0..12);
+    for vm in [0, 1, 4, 5] {
+        turn_up(&mut world, vm, 0..12);
+    }
+    world.run(Millis(1_000));
+    cut_off(&mut world, &tags);
+    world.run(Millis(2_000));
+    for vm in [0, 1, 4, 5] {
+        turn_up(&mut world, vm, 0..12);
+    }
+    world.run(Millis(2_000));
+    assert_eq!(resets_of(&world, &opened), 0);
+}
+
+#[test]
+fn what_was_found_out_during_a_cut_does_not_end_flows_after_it() {
+    let (mut world, tags) = world();
+    let opened = open_all(&mut world, 2, 0..12);
+    cut_off(&mut world, &tags);
+    world.run(Millis(2_000));
+    // The VMs inside are killed as the cut heals; the backend servers live.
+    world.kill(2);
+    world.kill(3);
+    world.cuts.clear();
+    world.silent.clear();
+    for vm in [0, 1, 4, 5] {
+        turn_up(&mut world, vm, 0..12);
+    }
+    world.run(Millis(2_000));
+    assert_eq!(resets_of(&world, &opened), 0);
+}
