--- a/tests/settings_steering.rs
+++ b/tests/settings_steering.rs
@@ -96,3 +96,17 @@
     let problem = SteeringSettings::parse(&text).expect_err("an unknown key");
     assert!(problem.to_string().contains("coers"), "{problem}");
 }
+
+#[test]
+fn a_vm_may_announce_another_address_than_the_one_it_binds() {
+    let text = filled(&[]);
+    let settings = SteeringSettings::parse(&text).expect("the template is read");
+    assert_eq!(settings.announced, settings.peers);
+    let translated = text.replace("[listen]", "[listen]\nannounced = 192.0.2.7:9100");
+    let settings = SteeringSettings::parse(&translated).expect("the key is known");
+    assert_eq!(settings.announced.to_string(), "192.0.2.7:9100");
+    assert!(settings.seeds.iter().all(|seed| seed.port() == 9_100));
+    let broken = text.replace("[listen]", "[listen]\nannounced = somewhere");
+    let e = SteeringSettings::parse(&broken).expect_err("no address");
+    assert!(e.to_string().contains("announced"), "{e}");
+}
