Let changes of backend servers gather before the next watch

Change: 100 ms between an answer with changes of backend servers and the next watch. The configuration and the data centres that are out are watched without a pause, as before.

--- a/src/core/steering/reading.rs
+++ b/src/core/steering/reading.rs
@@ -33,6 +33,15 @@
     }
 }
 
+/// The pause after changes, in which further ones gather. Backend servers often
+/// change together, and each answer of the store ends a call.
+fn gather_time(kind: Kind) -> Millis {
+    match kind {
+        Kind::BackendServers => Millis(100),
+        Kind::Configuration | Kind::Evacuations => Millis(0),
+    }
+}
+
 /// How often the pause after a failure is doubled until it is the longest.
 const DOUBLINGS: u32 = 3;
 
@@ -178,6 +187,9 @@
             StoreAnswer::Changes { changes, revision } => {
                 self.failures = 0;
                 self.state = State::Watching;
+                if !changes.is_empty() {
+                    self.pause_until = now + gather_time(self.kind);
+                }
                 Some((Update::Changes(changes), revision))
             }
             StoreAnswer::HistoryGone => {
--- a/tests/steering_knowledge.rs
+++ b/tests/steering_knowledge.rs
@@ -305,3 +305,22 @@
     let behind: Vec<usize> = (0..39).filter(|vm| version(&world, *vm) != 2).collect();
     assert!(behind.is_empty(), "{behind:?}");
 }
+
+#[test]
+fn changes_of_backend_servers_that_come_together_cost_few_calls() {
+    const CHANGES: u64 = 100;
+    let mut world = World::start(&["a", "b"]);
+    world.configure(1, &[("web", 1)]);
+    world.run(Millis(3_000));
+    let before = world.calls;
+    for key in 0..CHANGES {
+        world.put_backend(&backend(key, "a"));
+        world.run(Millis(10));
+    }
+    world.run(Millis(200));
+    let calls = world.calls - before;
+    // One in 100 ms, and the watches of the other kinds.
+    assert!(calls <= 16, "{calls} calls for {CHANGES} changes");
+    let now = world.now;
+    assert_eq!(world.vm(1).stats(now).backends as u64, CHANGES);
+}
