Take any other run of a VM for a new one, and name replicas plainly

Found by reading: runs are numbered by the time of day at their start. After a step back of the clock the replicas of a VM that started again were refused until those before had expired. The new test fails with the comparison by order. Renamed: evidence.rs, moved_away, the losses of the test proxy.

--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -5,8 +5,8 @@
 use derive_more::Display;
 
 use super::{
-    case::Evidence,
     directory::Fitness,
+    evidence::Evidence,
     packet::{
         DropReason,
         FlowId,
--- a/src/core/steering/flow.rs
+++ b/src/core/steering/flow.rs
@@ -84,19 +84,12 @@
 impl Flow {
     pub(super) fn offered(packet: &Packet, copy: u32, tag: Tag, now: Time) -> Flow {
         Flow {
-            tag,
             is_open: false,
-            ack: 0,
             is_waiting: true,
             offered: SmallVec::from_slice(&[tag]),
             copies: copy,
             sent: Some(packet.seq),
-            repeats: 0,
-            asked: now,
-            sent_on: now,
-            opened_at: now,
-            seen: now,
-            told: Told::default(),
+            ..Flow::restored(tag, 0, now)
         }
     }
 
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -16,11 +16,11 @@
 
 pub mod action;
 pub mod answers;
-pub mod case;
 pub mod cold;
 pub mod decision;
 pub mod directory;
 pub mod evacuations;
+pub mod evidence;
 pub mod flow;
 pub mod flow_changes;
 pub mod flows;
--- a/src/core/steering/replicas.rs
+++ b/src/core/steering/replicas.rs
@@ -121,11 +121,9 @@
             .owners
             .entry(batch.owner)
             .or_insert_with(|| Owner::open(batch));
-        if batch.incarnation < owner.incarnation {
-            return Vec::new();
-        }
         owner.hear(now);
-        let has_restarted = batch.incarnation > owner.incarnation;
+        // The time of day, by which runs are numbered, may have gone back.
+        let has_restarted = batch.incarnation != owner.incarnation;
         if !has_restarted && batch.number <= owner.number {
             return Vec::new();
         }
@@ -155,22 +153,22 @@
         }
     }
 
-    /// The data centres whose clients have left them, as far as seen here.
-    pub fn left(&self, now: Time) -> SmallVec<[DataCentreId; 2]> {
-        let left = self.owners.values().filter(|owner| owner.is_left(now));
-        left.map(|owner| owner.data_centre.clone()).collect()
+    /// The data centres whose clients the routers send here.
+    pub fn moved_away(&self, now: Time) -> SmallVec<[DataCentreId; 2]> {
+        let moved = self.owners.values().filter(|o| o.has_moved_away(now));
+        moved.map(|owner| owner.data_centre.clone()).collect()
     }
 
     /// Removes and returns the flows that `is_over` says are over since its
-    /// data centre was left by its clients, as `left_since` tells.
+    /// clients were sent elsewhere, as `moved_since` tells of its data centre.
     pub fn take_over(
         &mut self,
-        left_since: impl Fn(&DataCentreId) -> Option<Time>,
+        moved_since: impl Fn(&DataCentreId) -> Option<Time>,
         is_over: impl Fn(Tag, Time) -> bool,
     ) -> Vec<FlowRecord> {
         let mut taken = Vec::new();
         for owner in self.owners.values_mut() {
-            let Some(since) = left_since(&owner.data_centre) else {
+            let Some(since) = moved_since(&owner.data_centre) else {
                 continue;
             };
             let over = owner.records().into_iter();
@@ -253,8 +251,8 @@
         }
     }
 
-    /// Tells whether its clients have left the VM since it fell silent.
-    fn is_left(&self, now: Time) -> bool {
+    /// Tells whether the routers send its clients here since it fell silent.
+    fn has_moved_away(&self, now: Time) -> bool {
         let is_recent = |at: &&Time| now.since(**at) < TURNED_UP_FOR;
         let turned_up = self.turned_up.values().filter(is_recent).count();
         let enough = MIN_CLIENTS.max(self.clients.len() / CLIENT_SHARE);
--- a/src/core/steering/suspicion.rs
+++ b/src/core/steering/suspicion.rs
@@ -11,7 +11,7 @@
 use hashbrown::HashMap;
 
 use super::{
-    case::{
+    evidence::{
         Case,
         ENOUGH_REPORTS,
         Evidence,
--- a/src/core/steering/takeover.rs
+++ b/src/core/steering/takeover.rs
@@ -158,7 +158,7 @@
 
     /// Tells clients of data centres without VMs that their flows are over.
     pub(super) fn speak_for_lost(&mut self, now: Time) {
-        for place in self.replicas.left(now) {
+        for place in self.replicas.moved_away(now) {
             self.note_taken_over(&place, true, now);
         }
         self.taken_over.sweep(now);
--- a/testkit/src/process/proxy.rs
+++ b/testkit/src/process/proxy.rs
@@ -38,9 +38,9 @@
     Late(Duration),
     /// What clients send is lost. A connection of which anything was lost stays
     /// silent for good.
-    Deaf,
+    LosesRequests,
     /// What they are answered is lost in the same way.
-    Mute,
+    LosesAnswers,
     /// New connections and datagrams are turned away.
     Refused,
 }
@@ -56,7 +56,7 @@
     fn loses(self, way: Way) -> bool {
         matches!(
             (self, way),
-            (Link::Deaf, Way::In) | (Link::Mute, Way::Out) | (Link::Refused, _)
+            (Link::LosesRequests, Way::In) | (Link::LosesAnswers, Way::Out) | (Link::Refused, _)
         )
     }
 
--- a/tests/soak_steer.rs
+++ b/tests/soak_steer.rs
@@ -135,7 +135,12 @@
 
     fn any_harm(&mut self) -> Link {
         let late = Duration::from_millis(self.rng.random_range(1..400));
-        let links = [Link::Late(late), Link::Deaf, Link::Mute, Link::Refused];
+        let links = [
+            Link::Late(late),
+            Link::LosesRequests,
+            Link::LosesAnswers,
+            Link::Refused,
+        ];
         links[self.rng.random_range(0..links.len())]
     }
 
--- a/tests/steering_replicas.rs
+++ b/tests/steering_replicas.rs
@@ -6,18 +6,35 @@
 };
 
 use dragonflytrack::{
-    core::steering::{
-        flow_changes::REFRESH,
-        packet::{
-            FlowId,
-            Packet,
-            ResetReason,
-            Role,
-            Verdict, //
+    core::{
+        names::{
+            DataCentreId,
+            Incarnation, //
         },
-        tag::Tag, //
+        steering::{
+            flow_changes::REFRESH,
+            packet::{
+                FlowId,
+                Packet,
+                ResetReason,
+                Role,
+                Verdict, //
+            },
+            peers::{
+                FlowRecord,
+                ReplicaBatch, //
+            },
+            replicas::Replicas,
+            tag::{
+                BackendKey,
+                Tag, //
+            },
+        },
+    },
+    kernel::clock::{
+        Millis,
+        Time, //
     },
-    kernel::clock::Millis,
 };
 use dragonflytrack_testkit::steering::{
     World,
@@ -87,6 +104,13 @@
     }
 }
 
+/// The second data centre loses power.
+fn lose_power(world: &mut World, tags: &[Tag]) {
+    world.kill(2);
+    world.kill(3);
+    silence(world, 0..6, &tags[3..6]);
+}
+
 fn resets_of(world: &World, opened: &[(FlowId, Tag)]) -> usize {
     let is_reset = |flow: &FlowId| world.resets.iter().any(|(_, r)| r.flow == *flow);
     opened.iter().filter(|(flow, _)| is_reset(flow)).count()
@@ -96,9 +120,7 @@
 fn resting_flows_of_a_data_centre_without_power_are_reset_when_clients_turn_up_elsewhere() {
     let (mut world, tags) = world();
     let opened = open_all(&mut world, 2, 0..12);
-    world.kill(2);
-    world.kill(3);
-    silence(&mut world, 0..6, &tags[3..6]);
+    lose_power(&mut world, &tags);
     world.run(Millis(1_000));
     assert_eq!(resets_of(&world, &opened), 0, "nobody can know yet");
     for vm in [0, 1, 4, 5] {
@@ -170,9 +192,7 @@
         world.packet(2, &packet);
     }
     world.run(Millis(500));
-    world.kill(2);
-    world.kill(3);
-    silence(&mut world, 0..6, &tags[3..6]);
+    lose_power(&mut world, &tags);
     for vm in [0, 1, 4, 5] {
         turn_up(&mut world, vm, 0..12);
     }
@@ -195,9 +215,7 @@
         .expect("a VM keeps the replicas");
     world.kill(first);
     world.run(Millis(3_000));
-    world.kill(2);
-    world.kill(3);
-    silence(&mut world, 0..6, &tags[3..6]);
+    lose_power(&mut world, &tags);
     for vm in [0, 1, 4, 5].into_iter().filter(|vm| *vm != first) {
         turn_up(&mut world, vm, 0..12);
     }
@@ -223,9 +241,7 @@
         }
         world.run(Millis(50));
     }
-    world.kill(2);
-    world.kill(3);
-    silence(&mut world, 0..6, &tags[3..6]);
+    lose_power(&mut world, &tags);
     for vm in [0, 1, 4, 5] {
         turn_up(&mut world, vm, 0..4);
     }
@@ -301,3 +317,25 @@
     world.run(Millis(2_000));
     assert_eq!(resets_of(&world, &opened), 0);
 }
+
+#[test]
+fn a_run_that_began_at_an_earlier_time_of_day_is_a_new_run() {
+    let batch = |incarnation, number, flow| ReplicaBatch {
+        owner: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7_000),
+        incarnation: Incarnation(incarnation),
+        data_centre: DataCentreId::new("a"),
+        number,
+        flows: vec![FlowRecord {
+            flow: client(flow),
+            tag: Some(Tag::of(BackendKey(1))),
+            ack: 1,
+        }],
+    };
+    let mut replicas = Replicas::default();
+    assert_eq!(replicas.take(&batch(9_000, 1, 1), Time(1)), []);
+    assert_eq!(replicas.take(&batch(9_000, 1, 2), Time(2)), [], "a repeat");
+    assert_eq!(replicas.len(), 1);
+    // The clock went back before the VM started again.
+    assert_eq!(replicas.take(&batch(6_600, 1, 3), Time(3)).len(), 1);
+    assert_eq!(replicas.len(), 2);
+}
