Look at flows of a backend server only where there are any

Found on reading the change again: the flow table was searched in each tick for every tag that the store does not list, up to 20 s after its last packet, although the table counts flows by tag; and while a data centre was taken over, a copy of every replica was made in each tick to find those that are over, although replicas are counted by tag, too. Functions that the split had made visible beyond their file are private again. Behaviour stays.

--- a/src/core/steering/doubts.rs
+++ b/src/core/steering/doubts.rs
@@ -73,7 +73,7 @@
 
     /// Several dead backend servers in one data centre may mean that it lost
     /// power or is cut off.
-    pub(super) fn review_place_of(&mut self, tag: Tag, now: Time) {
+    fn review_place_of(&mut self, tag: Tag, now: Time) {
         let Some(entry) = self.directory.entry(tag) else {
             return;
         };
--- a/src/core/steering/evidence.rs
+++ b/src/core/steering/evidence.rs
@@ -128,7 +128,7 @@
         }
     }
 
-    pub(super) fn strong(&self) -> usize {
+    fn strong(&self) -> usize {
         self.silent
             .iter()
             .filter(|(_, repeats)| *repeats >= STRONG_REPEATS)
--- a/src/core/steering/flow.rs
+++ b/src/core/steering/flow.rs
@@ -156,7 +156,7 @@
         Sign::None
     }
 
-    pub(super) fn open(&mut self, packet: &Packet, now: Time) -> Sign {
+    fn open(&mut self, packet: &Packet, now: Time) -> Sign {
         self.is_open = true;
         self.sent = Some(packet.seq);
         self.ack = packet.ack;
@@ -174,14 +174,14 @@
 
     /// How long the client waited for what it acknowledges. Unknown if it sends
     /// data as well: the acknowledgement may have waited for them.
-    pub(super) fn answer_time(&self, packet: &Packet, now: Time) -> Option<Millis> {
+    fn answer_time(&self, packet: &Packet, now: Time) -> Option<Millis> {
         let is_plain = packet.len == 0 && self.is_waiting;
         is_plain.then(|| now.since(self.asked))
     }
 
     /// Returns whether the packet's data were sent on before, so long ago that
     /// an answer is overdue.
-    pub(super) fn note_data(&mut self, packet: &Packet, now: Time) -> bool {
+    fn note_data(&mut self, packet: &Packet, now: Time) -> bool {
         if packet.len == 0 {
             return false;
         }
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -192,6 +192,9 @@
     /// Removes and returns the flows of a backend server that were there before
     /// `before`.
     pub fn take_of(&mut self, tag: Tag, before: Time) -> Vec<FlowRecord> {
+        if self.load(tag).flows == 0 {
+            return Vec::new();
+        }
         let is_taken = |f: &Flow| f.tag == tag && f.opened_at <= before;
         let taken: Vec<FlowRecord> = self
             .flows
--- a/src/core/steering/replicas.rs
+++ b/src/core/steering/replicas.rs
@@ -128,7 +128,7 @@
             return Vec::new();
         }
         let carried = match has_restarted {
-            true => owner.records(),
+            true => owner.records(|_| true),
             false => Vec::new(),
         };
         owner.incarnation = batch.incarnation;
@@ -171,8 +171,12 @@
             let Some(since) = moved_since(&owner.data_centre) else {
                 continue;
             };
-            let over = owner.records().into_iter();
-            for record in over.filter(|r| r.tag.is_some_and(|tag| is_over(tag, since))) {
+            let tags = owner.tags.keys().copied();
+            let over: Vec<Tag> = tags.filter(|tag| is_over(*tag, since)).collect();
+            if over.is_empty() {
+                continue;
+            }
+            for record in owner.records(|tag| over.contains(&tag)) {
                 owner.remove(&record.flow);
                 taken.push(record);
             }
@@ -231,13 +235,15 @@
         }
     }
 
-    fn records(&self) -> Vec<FlowRecord> {
+    /// The flows of the backend servers that `is_wanted` names.
+    fn records(&self, is_wanted: impl Fn(Tag) -> bool) -> Vec<FlowRecord> {
         let record = |(flow, replica): (&FlowId, &Replica)| FlowRecord {
             flow: *flow,
             tag: Some(replica.tag),
             ack: replica.ack,
         };
-        self.flows.iter().map(record).collect()
+        let wanted = self.flows.iter().filter(|(_, r)| is_wanted(r.tag));
+        wanted.map(record).collect()
     }
 
     fn hear(&mut self, now: Time) {
