--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -68,6 +68,9 @@
 
 const CONTACTS_PER_HEARTBEAT: usize = 4;
 
+/// Contacts for a VM that has just started, besides those of the hubs.
+const START_CONTACTS: usize = 32;
+
 /// A peer that was heard.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -101,6 +104,8 @@
     /// Peers selected for heartbeats.
     neighbours: HashSet<SocketAddrV4>,
     is_hub: bool,
+    /// Whether other VMs contact this one at their start.
+    is_seed: bool,
     next_selection: Time,
 }
 
@@ -112,6 +117,7 @@
             known: HashMap::new(),
             neighbours: HashSet::new(),
             is_hub: true,
+            is_seed: seeds.is_empty() || seeds.contains(&me.address),
             next_selection: Time::default(),
             me,
         };
@@ -162,9 +168,24 @@
             .filter(move |m| now.since(m.heard) < LOST_AFTER)
     }
 
-    /// Iterates over the contacts of all known peers.
-    pub fn contacts(&self) -> impl Iterator<Item = &Contact> {
-        self.known.values().filter_map(|k| k.contact.as_ref())
+    /// Returns contacts for a VM that has just started: the hubs of all data
+    /// centres and a random sample of the others. Bounded, whatever the size of
+    /// the fleet; the VM learns of the rest from heartbeats.
+    pub fn start_contacts(&self, now: Time, rng: &mut SmallRng) -> Vec<Contact> {
+        let hubs = self.hubs(now);
+        let is_hub = |c: &&Contact| hubs.values().any(|h| h.contains(&c.address));
+        let contacts = || self.known.values().filter_map(|k| k.contact.as_ref());
+        let mut selected: Vec<Contact> = contacts().filter(is_hub).cloned().collect();
+        let others = contacts().filter(|c| !is_hub(c));
+        let mut sample = vec![self.me.clone(); START_CONTACTS];
+        let found = others.cloned().choose_multiple_fill(rng, &mut sample);
+        selected.extend(sample.into_iter().take(found));
+        selected
+    }
+
+    /// Returns whether other VMs contact this one at their start.
+    pub fn is_seed(&self) -> bool {
+        self.is_seed
     }
 
     /// Returns whether all neighbours are heard, except those that were silent
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -38,6 +38,7 @@
 pub mod replication_queue;
 pub mod response_times;
 pub mod routing;
+pub mod snapshot_admission;
 pub mod stats;
 pub mod store;
 pub mod store_reader;
@@ -81,6 +82,7 @@
 use replication::Replication;
 use response_times::ResponseTimes;
 use routing::Routing;
+use snapshot_admission::SnapshotAdmission;
 pub use stats::Stats;
 use store::{
     Kind,
@@ -124,6 +126,7 @@
     replicas: Replicas,
     takeovers: Takeovers,
     registration: Registration,
+    admission: SnapshotAdmission,
     remote_loads: RemoteLoads,
     sync: SyncState,
     /// Invariant: one per kind, in the order of [`Kind::ALL`].
@@ -157,6 +160,7 @@
             replicas: Replicas::default(),
             takeovers: Takeovers::default(),
             registration: Registration::default(),
+            admission: SnapshotAdmission::default(),
             me,
             routing: Routing::default(),
             directory: Directory::default(),
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -155,10 +155,47 @@
 /// Request for a snapshot.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct SnapshotRequest {
+    /// Address of the requester for messages.
+    pub requester: SocketAddrV4,
     /// Kinds to include.
     pub queries: Vec<KindQuery>,
 }
 
+impl SnapshotRequest {
+    /// Returns whether the requester lacks all objects of a kind.
+    pub fn is_full(&self) -> bool {
+        self.queries.iter().any(|q| q.since == Revision(0))
+    }
+}
+
+impl KindQuery {
+    /// Creates a query for all objects of a kind.
+    pub fn full(kind: Kind) -> KindQuery {
+        KindQuery {
+            kind,
+            since: Revision(0),
+        }
+    }
+}
+
+/// Answer to a snapshot request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum SnapshotAnswer {
+    /// The requested objects.
+    Snapshot(Snapshot),
+    /// Too many full snapshots are being served.
+    Referral(Referral),
+}
+
+/// Where else to request a snapshot.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Referral {
+    /// VMs that should have a full snapshot.
+    pub holders: Vec<SocketAddrV4>,
+    /// Contacts of other VMs.
+    pub contacts: Vec<Contact>,
+}
+
 /// Request for the objects of one kind.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct KindQuery {
@@ -168,7 +205,7 @@
     pub since: Revision,
 }
 
-/// Answer to a snapshot request.
+/// Objects of several kinds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// One part per requested kind that the sender knows.
--- a/src/core/steering/probing.rs
+++ b/src/core/steering/probing.rs
@@ -110,6 +110,11 @@
         for lost in self.peers.take_lost(now) {
             self.remote_loads.replace(&lost.loads, &[]);
             self.record_peer(false, lost.contact());
+            // A VM that is not a neighbour stops its heartbeats when it no longer
+            // needs this VM.
+            if !self.peers.is_neighbour(lost.address) {
+                continue;
+            }
             let shares_data_centre = |m: &Member| m.heartbeat.data_centre == lost.data_centre;
             if !self.peers.live(now).any(shares_data_centre) {
                 // Its backend servers may be lost together with its VMs.
--- a/src/core/steering/reader_election.rs
+++ b/src/core/steering/reader_election.rs
@@ -48,6 +48,24 @@
 /// Length of a slot.
 const NON_HUB_SLOT: Millis = Millis(140);
 
+/// One in this many VMs, besides the seeds, reads the store at its start. The
+/// others fetch a snapshot from these, so that the calls to the store do not
+/// grow with the VMs that start together.
+const EARLY_READERS: u64 = 48;
+
+/// Time within which a seed answers the first heartbeat of a VM, if it runs.
+const SEED_ANSWER_TIME: Millis = Millis(150);
+
+/// Time within which a VM that hears others should have got a snapshot from
+/// one of them.
+const FIRST_SNAPSHOT_TIME: Millis = Millis(900);
+
+/// Number of slots over which the first reads are spread after these times.
+const FIRST_READ_SLOTS: u64 = 16;
+
+/// Length of such a slot.
+const FIRST_READ_SLOT: Millis = Millis(25);
+
 /// Maximum backoff of the first-ranked VMs during a store outage.
 const RANKED_MAX_BACKOFF: Millis = Millis(800);
 
@@ -93,12 +111,29 @@
     /// that hear each other does, and any VM whose knowledge is too old.
     fn should_read(&self, kind: Kind, now: Time) -> bool {
         let Some(age) = self.sync.age(kind, now) else {
-            return true;
+            return now.since(self.started_at) >= self.first_read_delay(now);
         };
+        if self.is_discovering(now) {
+            return false;
+        }
         self.reading_delay(now)
             .is_none_or(|reading_delay| age > watch_time(kind) + RELAY_DELAY + reading_delay)
     }
 
+    /// Returns how long after its start a VM without state reads the store if no
+    /// other VM has given it a snapshot.
+    fn first_read_delay(&self, now: Time) -> Millis {
+        let hash = self.me.vm.hash64();
+        if self.peers.is_seed() || hash.is_multiple_of(EARLY_READERS) {
+            return Millis(0);
+        }
+        let slot = Millis(FIRST_READ_SLOT.0 * (hash % FIRST_READ_SLOTS));
+        if self.peers.live(now).next().is_some() {
+            return FIRST_SNAPSHOT_TIME + slot;
+        }
+        SEED_ANSWER_TIME + slot
+    }
+
     /// Returns how long this VM waits for other readers once its knowledge is
     /// too old. `None` for the first-ranked VM, which reads at once.
     fn reading_delay(&self, now: Time) -> Option<Millis> {
@@ -113,6 +148,14 @@
         }
     }
 
+    /// Returns whether this VM has just started beside others and does not know
+    /// most of them yet. The seeds, which all others know, read meanwhile.
+    fn is_discovering(&self, now: Time) -> bool {
+        let has_peers = self.peers.live(now).next().is_some();
+        let is_new = now.since(self.started_at) < FIRST_SNAPSHOT_TIME;
+        has_peers && is_new && !self.peers.is_seed()
+    }
+
     /// Returns the maximum backoff of this VM during a store outage.
     fn max_backoff(&self, now: Time) -> Millis {
         let is_ranked = self.peers.is_hub() && self.rank(now) < STAGGERED_RANKS;
--- a/src/core/steering/store_reader.rs
+++ b/src/core/steering/store_reader.rs
@@ -25,6 +25,10 @@
 /// Maximum duration of a watch on evacuations, which may be detected later.
 const EVACUATION_WATCH_TIME: Millis = Millis(2_500);
 
+/// Maximum duration of the watch after a list that may be stale. Until it ends,
+/// the other VMs hold their knowledge for old and would read as well.
+const CONFIRMING_WATCH_TIME: Millis = Millis(20);
+
 /// Returns the maximum duration of a watch of a kind.
 pub fn watch_time(kind: Kind) -> Millis {
     match kind {
@@ -91,6 +95,8 @@
         /// later changes.
         allow_stale: bool,
     },
+    /// The list may be stale: the next watch shows soon how old it is.
+    Confirming,
     Watching,
 }
 
@@ -102,6 +108,7 @@
             State::Listing {
                 after, allow_stale, ..
             } => after.is_none() && *allow_stale,
+            State::Confirming => false,
             State::Watching => true,
         }
     }
@@ -152,11 +159,16 @@
                 after: after.clone(),
                 allow_stale: *allow_stale,
             },
-            State::Watching => StoreCall::Watch {
-                kind: self.kind,
-                since: known,
-                wait: watch_time(self.kind),
-            },
+            State::Confirming => self.watch(known, CONFIRMING_WATCH_TIME),
+            State::Watching => self.watch(known, watch_time(self.kind)),
+        }
+    }
+
+    fn watch(&self, since: Revision, wait: Millis) -> StoreCall {
+        StoreCall::Watch {
+            kind: self.kind,
+            since,
+            wait,
         }
     }
 
@@ -219,7 +231,7 @@
             after,
             objects,
             lowest,
-            ..
+            allow_stale,
         } = &mut self.state
         else {
             return None;
@@ -233,7 +245,10 @@
             return None;
         }
         let all = std::mem::take(objects);
-        self.state = State::Watching;
+        self.state = match allow_stale {
+            true => State::Confirming,
+            false => State::Watching,
+        };
         Some((Update::All(all), revision))
     }
 
--- a/src/edge/steering/entry_vm.rs
+++ b/src/edge/steering/entry_vm.rs
@@ -26,6 +26,10 @@
     peers,
     probes,
     ready,
+    snapshots::{
+        self,
+        EncodedSnapshots, //
+    },
     store, //
 };
 use crate::{
@@ -81,6 +85,8 @@
     pub packets: UdpSocket,
     /// The socket for datagrams to and from other VMs.
     pub peers: UdpSocket,
+    /// Encoded snapshots for other VMs.
+    pub snapshots: RefCell<EncodedSnapshots>,
     /// When the last client packet arrived.
     pub last_packet_at: Cell<Time>,
 }
@@ -115,11 +121,13 @@
             log: RefCell::default(),
             packets: UdpSocket::bind(settings.packets).await?,
             peers: UdpSocket::bind(settings.peers).await?,
+            snapshots: RefCell::default(),
             last_packet_at: Cell::new(Time::default()),
             settings,
         });
         ready::spawn(&vm).await?;
-        peers::spawn(&vm).await?;
+        snapshots::spawn(&vm).await?;
+        peers::spawn(&vm);
         packets::spawn(&vm);
         for kind in Kind::ALL {
             store::spawn(&vm, kind);
@@ -155,7 +163,7 @@
                 Action::Send { to, msg } => peers::send(self, to, &msg),
                 Action::Probe { tag, address } => probes::spawn(self, tag, address),
                 Action::RequestSnapshot { from, queries } => {
-                    peers::request_snapshot(self, from, queries)
+                    snapshots::request(self, from, queries)
                 }
             }
         }
--- a/src/edge/steering/mod.rs
+++ b/src/edge/steering/mod.rs
@@ -12,6 +12,7 @@
 pub mod peers;
 pub mod probes;
 pub mod ready;
+pub mod snapshots;
 pub mod store;
 
 pub use entry_vm::EntryVm;
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -35,6 +35,7 @@
                 Contact,
                 KindQuery,
                 PeerMessage,
+                SnapshotAnswer,
                 SnapshotRequest, //
             },
             store::{
@@ -73,6 +74,9 @@
 /// Duration of a probe that an unresponsive backend server leaves unanswered.
 const PROBE_DURATION: Millis = Millis(240);
 
+/// Time that a VM takes to serve a snapshot.
+const SNAPSHOT_DURATION: Millis = Millis(20);
+
 /// Number of objects on one page of a list.
 const PAGE_SIZE: usize = 3;
 
@@ -190,6 +194,10 @@
         to: usize,
         queries: Vec<KindQuery>,
     },
+    Snapshot {
+        from: usize,
+        request: SnapshotRequest,
+    },
     Probe {
         vm: usize,
         tag: Tag,
@@ -453,10 +461,27 @@
                 self.perform_actions(to);
             }
             Delivery::SnapshotRequest { from, to, queries } if self.can_reach(from, to) => {
-                let request = SnapshotRequest { queries };
+                let requester = address(to);
+                let request = SnapshotRequest { requester, queries };
+                let admitted = self.vm(from).admit_snapshot(&request, now);
+                if let Err(referral) = admitted {
+                    let answer = SnapshotAnswer::Referral(referral);
+                    self.vm(to).on_snapshot_answer(answer, now, now);
+                    self.perform_actions(to);
+                    return;
+                }
+                self.schedule(SNAPSHOT_DURATION, Delivery::Snapshot { from, request });
+            }
+            Delivery::Snapshot { from, request } if self.machines[from].is_some() => {
+                let to = vm_index(request.requester);
+                let is_delivered = self.can_reach(from, to);
                 let snapshot = self.vm(from).snapshot(&request, now);
-                self.vm(to).on_snapshot(snapshot, now);
-                self.perform_actions(to);
+                self.vm(from).end_snapshot(&request, is_delivered);
+                if is_delivered {
+                    let answer = SnapshotAnswer::Snapshot(snapshot);
+                    self.vm(to).on_snapshot_answer(answer, now, now);
+                    self.perform_actions(to);
+                }
             }
             Delivery::Probe { vm, tag, outcome } if self.machines[vm].is_some() => {
                 self.vm(vm).on_probe(tag, outcome, now);
--- /dev/null
+++ b/tests/steering_start.rs
@@ -0,0 +1,79 @@
+//! Tests of a fleet of hundreds of VMs that starts, or starts again, at once.
+//!
+//! The load: 300 VMs in five data centres without any state, whose clients send
+//! packets from the first moment. They share three seeds and one store.
+
+use dragonflytrack::kernel::clock::Millis;
+use dragonflytrack_testkit::steering::{
+    Simulation,
+    backend, //
+};
+
+const DATA_CENTRES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+const VMS: usize = 300;
+
+const BACKENDS: u64 = 60;
+
+/// Calls that one VM makes to read all kinds page by page: 20 pages of backend
+/// servers and one of each other kind.
+const CALLS_PER_VM: usize = 22;
+
+/// Upper bound of the VMs that read the store when all start at once.
+const MAX_READERS: usize = VMS / 10;
+
+/// Time by which all VMs of the fleet serve after a start of all.
+const START_BOUND: Millis = Millis(2_000);
+
+fn start_sim() -> Simulation {
+    let places: Vec<&str> = (0..VMS).map(|vm| DATA_CENTRES[vm % 5]).collect();
+    let mut sim = Simulation::start(&places);
+    sim.configure(1, &[("web", 1)]);
+    for key in 1..=BACKENDS {
+        sim.put_backend(&backend(key, DATA_CENTRES[key as usize % 5]));
+    }
+    sim
+}
+
+fn unready(sim: &mut Simulation) -> Vec<usize> {
+    (0..VMS).filter(|vm| !sim.vm(*vm).is_ready()).collect()
+}
+
+#[test]
+fn few_of_the_vms_that_start_together_read_the_store() {
+    let mut sim = start_sim();
+    sim.run(START_BOUND);
+    assert!(unready(&mut sim).is_empty());
+    let bound = MAX_READERS * CALLS_PER_VM;
+    assert!(sim.calls <= bound, "{} calls", sim.calls);
+}
+
+#[test]
+fn vms_that_restart_beside_others_do_not_read_the_store() {
+    let mut sim = start_sim();
+    sim.run(Millis(5_000));
+    let before = sim.calls;
+    for vm in (0..VMS).filter(|vm| vm % 3 == 1) {
+        sim.kill(vm);
+    }
+    sim.run(Millis(500));
+    for vm in (0..VMS).filter(|vm| vm % 3 == 1) {
+        sim.restart(vm);
+    }
+    sim.run(Millis(700));
+    assert!(unready(&mut sim).is_empty());
+    let bound = VMS / 3 / 10 * CALLS_PER_VM;
+    let calls = sim.calls - before;
+    assert!(calls <= bound, "{calls} calls");
+}
+
+#[test]
+fn vms_whose_seeds_are_all_gone_read_the_store() {
+    let mut sim = start_sim();
+    sim.set_seeds(&["10.9.9.9:7000".parse().expect("an address")]);
+    for vm in 0..VMS {
+        sim.restart(vm);
+    }
+    sim.run(START_BOUND);
+    assert!(unready(&mut sim).is_empty());
+}
