--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -98,4 +98,7 @@
     7014 LinesSuppressed Info "Log lines of one event were suppressed in the last second.";
     7015 DataCentreTakenOver Warn "The routers send the clients of a data centre to other data centres.";
     7016 HandshakesFailing Info "Flows to a backend server fail to open; new flows go to other backend servers.";
+    7017 StoreRestored Warn "The store was restored from an older copy and has lost its last changes.";
+    7018 ConfigurationHeldBack Warn "A configuration that is older than the active one was not activated.";
+    7019 BackendsDoubted Warn "A restored store lists backend servers that drain, have left or have started again; they get no new flows.";
 }
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -13,8 +13,9 @@
         ResetReason, //
     },
     store::{
+        Era,
         Kind,
-        Revision, //
+        Position, //
     },
     tag::Tag,
 };
@@ -54,8 +55,8 @@
         tag: Tag,
         /// Fitness of the backend server.
         fitness: Fitness,
-        /// Store revision of the configuration.
-        configuration: Revision,
+        /// Store position of the configuration.
+        configuration: Position,
         /// Age of the view of the backend servers.
         age: Millis,
     },
@@ -67,8 +68,8 @@
         tag: Option<Tag>,
         /// Reason for the reset.
         reason: ResetReason,
-        /// Store revision of the configuration.
-        configuration: Revision,
+        /// Store position of the configuration.
+        configuration: Position,
     },
     /// A packet was dropped.
     PacketDropped {
@@ -110,8 +111,8 @@
     StoreUpdateApplied {
         /// Kind.
         kind: Kind,
-        /// Store revision.
-        revision: Revision,
+        /// Store position.
+        position: Position,
         /// Operator-assigned version of the active configuration.
         version: u64,
         /// Origin of the objects.
@@ -119,6 +120,28 @@
         /// Lower bound of their age.
         age: Millis,
     },
+    /// The store was restored from an older copy.
+    StoreRestored {
+        /// Era before.
+        before: Era,
+        /// Era since the restore.
+        era: Era,
+    },
+    /// A configuration is older than the active one and was not activated.
+    ConfigurationHeldBack {
+        /// Operator-assigned version of the older one.
+        version: u64,
+        /// Operator-assigned version of the active one.
+        active: u64,
+        /// Store position of the older one.
+        position: Position,
+    },
+    /// A restored store lists backend servers that drain, have left or have
+    /// started again; they get no new flows until they write themselves again.
+    BackendsDoubted {
+        /// Number of backend servers.
+        backends: usize,
+    },
     /// This VM became ready for new flows, or is no longer ready.
     Readiness {
         /// Whether it is ready.
@@ -166,6 +189,9 @@
             Decision::BackendRevived { .. } => Notice::BackendRevived,
             Decision::BackendEnded { .. } => Notice::BackendEnded,
             Decision::StoreUpdateApplied { .. } => Notice::StoreUpdateApplied,
+            Decision::StoreRestored { .. } => Notice::StoreRestored,
+            Decision::ConfigurationHeldBack { .. } => Notice::ConfigurationHeldBack,
+            Decision::BackendsDoubted { .. } => Notice::BackendsDoubted,
             Decision::Readiness { is_ready: true, .. } => Notice::Ready,
             Decision::Readiness { .. } => Notice::NotReady,
             Decision::TakenOver { .. } => Notice::DataCentreTakenOver,
--- a/src/core/steering/directory.rs
+++ b/src/core/steering/directory.rs
@@ -1,5 +1,7 @@
 //! Known backend servers and their fitness for new flows.
 
+use std::cmp::Ordering;
+
 use hashbrown::HashMap;
 
 use super::{
@@ -8,7 +10,7 @@
         BackendServer,
         Change,
         Object,
-        Revision,
+        Position,
         Value, //
     },
     tag::Tag,
@@ -29,6 +31,10 @@
 /// to write it again after the store's return.
 pub const REREGISTER_TIME: Millis = Millis(2_500);
 
+/// Time that operators and backend servers have after a restore of the store to
+/// write again what it lost.
+pub const RESTORE_GRACE: Millis = Millis::from_secs(10);
+
 /// How long the tag of a removed backend server is remembered.
 const GONE_RETENTION: Millis = Millis::from_secs(120);
 
@@ -42,6 +48,12 @@
         /// When it counts as gone.
         gone_at: Time,
     },
+    /// The copy that the store was restored from does not list it. It has had no
+    /// time to write itself again.
+    NotRestored {
+        /// When it counts as gone.
+        gone_at: Time,
+    },
     /// It has left or died.
     Gone {
         /// When it was found to be gone.
@@ -58,8 +70,11 @@
     pub presence: Presence,
     /// End of its cold start.
     pub cold_until: Time,
+    /// State in the copy that the store was restored from, if it contradicts
+    /// what was known before.
+    doubted: Option<Doubted>,
     name: String,
-    revision: Revision,
+    position: Position,
 }
 
 impl Entry {
@@ -69,6 +84,14 @@
     }
 }
 
+/// State of a backend server in a copy that the store was restored from.
+#[derive(Debug)]
+struct Doubted {
+    server: BackendServer,
+    /// When it takes effect unless the backend server writes itself again.
+    until: Time,
+}
+
 /// Fitness of a backend server for new flows, in order of preference.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Fitness {
@@ -103,8 +126,11 @@
     /// Evacuated data centres.
     pub evacuations: Evacuations,
     ended: Vec<EndedBackend>,
-    /// Removals up to this revision may be missing from exports.
-    compacted: Revision,
+    /// States of a restored store that were doubted since the last call of
+    /// [`Directory::take_doubted`].
+    doubted: usize,
+    /// Removals up to this position may be missing from exports.
+    compacted: Position,
 }
 
 /// Objects of one kind, exported for another VM.
@@ -155,23 +181,29 @@
             Presence::Gone { .. } => Fitness::Unfit,
             Presence::Missing { .. } if now < entry.cold_until => Fitness::Unfit,
             Presence::Missing { .. } => Fitness::Doubtful,
-            Presence::Listed
+            Presence::Listed | Presence::NotRestored { .. }
                 if now < entry.cold_until || self.evacuations.is_returning(data_centre, now) =>
             {
                 Fitness::Cold
             }
-            Presence::Listed => Fitness::Ready,
+            Presence::Listed | Presence::NotRestored { .. } => Fitness::Ready,
         }
     }
 
+    /// Takes the number of backend servers whose state in a restored store was
+    /// doubted since the last call.
+    pub fn take_doubted(&mut self) -> usize {
+        std::mem::take(&mut self.doubted)
+    }
+
     /// Takes the backend servers whose flows ended since the last call.
     pub fn take_ended(&mut self) -> Vec<EndedBackend> {
         std::mem::take(&mut self.ended)
     }
 
-    /// Replaces the backend servers with the full list as of `revision`. Those
+    /// Replaces the backend servers with the full list as of `position`. Those
     /// not listed are missing until `gone_at`, or gone if that has passed.
-    pub fn replace(&mut self, objects: &[Object], revision: Revision, gone_at: Time, now: Time) {
+    pub fn replace(&mut self, objects: &[Object], position: Position, gone_at: Time, now: Time) {
         for object in objects {
             self.upsert(object, now);
         }
@@ -179,11 +211,11 @@
         let unlisted: Vec<Tag> = self
             .entries
             .iter()
-            .filter(|(_, e)| e.revision <= revision && !listed.contains(e.name.as_str()))
+            .filter(|(_, e)| e.position <= position && !listed.contains(e.name.as_str()))
             .map(|(tag, _)| *tag)
             .collect();
         for tag in unlisted {
-            self.mark_missing(tag, revision, gone_at, now);
+            self.mark_unlisted(tag, position, gone_at, now);
         }
     }
 
@@ -199,9 +231,19 @@
         let is_newer = self
             .entries
             .get(&tag)
-            .is_some_and(|e| e.revision > change.object.revision);
+            .is_some_and(|e| e.position > change.object.position);
         if !is_newer {
-            self.mark_missing(tag, change.object.revision, gone_at, now);
+            self.mark_unlisted(tag, change.object.position, gone_at, now);
+        }
+    }
+
+    /// Records that the store does not list a backend server as of `position`.
+    fn mark_unlisted(&mut self, tag: Tag, position: Position, gone_at: Time, now: Time) {
+        match self.entries.get_mut(&tag) {
+            Some(entry) if entry.position.era < position.era && gone_at > now => {
+                entry.mark_not_restored(position, gone_at);
+            }
+            _ => self.mark_missing(tag, position, gone_at, now),
         }
     }
 
@@ -219,17 +261,25 @@
             self.remove_entry(tag);
         }
         match self.entries.get_mut(&tag) {
-            Some(entry) if entry.revision >= object.revision => {
+            Some(entry) if entry.position >= object.position => {
                 // An object may be listed again after it was missing.
-                if entry.revision == object.revision && entry.may_hold_flows() {
+                if entry.position == object.position && entry.may_hold_flows() {
                     entry.presence = Presence::Listed;
                 }
             }
+            Some(entry) if entry.contradicts(server, object.position) => {
+                entry.position = object.position;
+                entry.doubted = Some(Doubted {
+                    server: server.clone(),
+                    until: now + RESTORE_GRACE,
+                });
+                self.doubted += 1;
+            }
             Some(entry) => {
                 if server.started_unix_ms > entry.server.started_unix_ms {
                     self.ended.push(EndedBackend::Restarted(tag));
                 }
-                entry.update(server, object.revision, now);
+                entry.update(server, object.position, now);
             }
             None => self.insert(tag, server, object, now),
         }
@@ -256,8 +306,9 @@
             server: server.clone(),
             presence: Presence::Listed,
             cold_until: cold_until(server, now),
+            doubted: None,
             name: object.name.clone(),
-            revision: object.revision,
+            position: object.position,
         };
         self.entries.insert(tag, entry);
         self.tags.insert(object.name.clone(), tag);
@@ -275,17 +326,18 @@
         else {
             return;
         };
-        if entry.revision < object.revision {
-            entry.revision = object.revision;
+        if entry.position < object.position {
+            entry.position = object.position;
             entry.server.draining = true;
         }
     }
 
-    fn mark_missing(&mut self, tag: Tag, revision: Revision, gone_at: Time, now: Time) {
+    fn mark_missing(&mut self, tag: Tag, position: Position, gone_at: Time, now: Time) {
         let Some(entry) = self.entries.get_mut(&tag) else {
             return;
         };
-        entry.revision = entry.revision.max(revision);
+        entry.position = entry.position.max(position);
+        entry.doubted = None;
         if entry.presence != Presence::Listed {
             return;
         }
@@ -303,8 +355,11 @@
     pub fn tick(&mut self, outage_settled_at: Time, now: Time) {
         let mut expired = Vec::new();
         for (tag, entry) in &mut self.entries {
+            entry.settle_doubt(now);
             match entry.presence {
-                Presence::Missing { gone_at } if now >= gone_at.max(outage_settled_at) => {
+                Presence::Missing { gone_at } | Presence::NotRestored { gone_at }
+                    if now >= gone_at.max(outage_settled_at) =>
+                {
                     entry.presence = Presence::Gone { since: now };
                     self.ended.push(EndedBackend::Gone(*tag));
                 }
@@ -321,7 +376,7 @@
         let Some(entry) = self.entries.remove(&tag) else {
             return;
         };
-        self.compacted = self.compacted.max(entry.revision);
+        self.compacted = self.compacted.max(entry.position);
         self.tags.remove(&entry.name);
         if let Some(pool) = self.pools.get_mut(&entry.server.service) {
             pool.retain(|t| *t != tag);
@@ -330,15 +385,19 @@
 
     /// Exports the backend servers that changed after `since`, or all of them
     /// if some of the changes are no longer known.
-    pub fn export(&self, since: Revision, now: Time) -> Exported {
-        let is_full = since < self.compacted || since == Revision(0);
+    pub fn export(&self, since: Position, now: Time) -> Exported {
+        let is_full = since < self.compacted || since == Position::NONE;
         let mut exported = Exported {
             is_full,
             ..Exported::default()
         };
         for entry in self.entries.values() {
-            let is_listed = entry.presence == Presence::Listed;
-            if !is_full && entry.revision <= since {
+            let is_listed = match entry.presence {
+                Presence::Listed => true,
+                Presence::NotRestored { .. } => is_full,
+                Presence::Missing { .. } | Presence::Gone { .. } => false,
+            };
+            if !is_full && entry.position <= since {
                 continue;
             }
             match is_listed {
@@ -351,11 +410,49 @@
 }
 
 impl Entry {
-    fn update(&mut self, server: &BackendServer, revision: Revision, now: Time) {
-        self.cold_until = cold_until(server, now);
+    /// Returns whether the copy that the store was restored from would use the
+    /// backend server although it is known to drain, to have left or to have
+    /// started again since.
+    fn contradicts(&self, server: &BackendServer, position: Position) -> bool {
+        if position.era <= self.position.era {
+            return false;
+        }
+        let was_draining = self.server.draining && !server.draining;
+        match server.started_unix_ms.cmp(&self.server.started_unix_ms) {
+            Ordering::Less => true,
+            Ordering::Equal => was_draining || !self.may_hold_flows(),
+            Ordering::Greater => false,
+        }
+    }
+
+    /// Applies a doubted state that was not written again in time.
+    fn settle_doubt(&mut self, now: Time) {
+        let Some(doubted) = self.doubted.take_if(|d| now >= d.until) else {
+            return;
+        };
+        let position = self.position;
+        self.update(&doubted.server, position, now);
+    }
+
+    fn mark_not_restored(&mut self, position: Position, gone_at: Time) {
+        self.position = position;
+        if matches!(self.presence, Presence::Listed | Presence::Missing { .. }) {
+            self.presence = Presence::NotRestored { gone_at };
+        }
+    }
+
+    fn update(&mut self, server: &BackendServer, position: Position, now: Time) {
+        self.doubted = None;
+        let reported = cold_until(server, now);
+        let is_same_run = server.started_unix_ms == self.server.started_unix_ms;
+        // The copy that a store was restored from may repeat an old state.
+        self.cold_until = match position.era > self.position.era && is_same_run {
+            true => self.cold_until.max(reported),
+            false => reported,
+        };
         self.server = server.clone();
         self.presence = Presence::Listed;
-        self.revision = revision;
+        self.position = position;
     }
 
     fn export(&self, now: Time) -> Object {
@@ -363,7 +460,7 @@
         server.cold_for = self.cold_until.since(now);
         Object {
             name: self.name.clone(),
-            revision: self.revision,
+            position: self.position,
             value: Some(Value::BackendServer(server)),
         }
     }
--- a/src/core/steering/evacuations.rs
+++ b/src/core/steering/evacuations.rs
@@ -2,11 +2,14 @@
 
 use hashbrown::HashMap;
 
-use super::store::{
-    Change,
-    Object,
-    Revision,
-    Value, //
+use super::{
+    directory::RESTORE_GRACE,
+    store::{
+        Change,
+        Object,
+        Position,
+        Value, //
+    },
 };
 use crate::{
     core::names::DataCentreId,
@@ -24,48 +27,135 @@
 /// Evacuated data centres and those that recently returned.
 #[derive(Debug, Default)]
 pub struct Evacuations {
-    evacuated: HashMap<DataCentreId, Revision>,
-    returned_at: HashMap<DataCentreId, Time>,
+    evacuated: HashMap<DataCentreId, Position>,
+    returned: HashMap<DataCentreId, Returned>,
+    /// Evacuations that a restored store does not list, with the time until
+    /// which operators may write them again.
+    ///
+    /// Invariant: each is in `evacuated`.
+    not_restored: HashMap<DataCentreId, Time>,
+    /// Evacuations that ended and that a restored store lists again, with the
+    /// time from which they are believed.
+    ///
+    /// Invariant: none is in `evacuated`.
+    doubted: HashMap<DataCentreId, (Position, Time)>,
+}
+
+/// The end of an evacuation.
+#[derive(Clone, Copy, Debug)]
+struct Returned {
+    at: Time,
+    /// Position of the evacuation that ended.
+    evacuated: Position,
 }
 
 impl Evacuations {
-    /// Replaces the evacuated data centres with the full list as of `revision`.
-    pub fn replace(&mut self, objects: &[Object], revision: Revision, now: Time) {
-        let evacuated: HashMap<DataCentreId, Revision> = objects
+    /// Replaces the evacuated data centres with the full list as of `position`.
+    pub fn replace(&mut self, objects: &[Object], position: Position, now: Time) {
+        let listed: HashMap<DataCentreId, Position> = objects
             .iter()
-            .filter_map(|o| Some((evacuated_data_centre(o)?, o.revision)))
+            .filter_map(|o| Some((evacuated_data_centre(o)?, o.position)))
             .collect();
-        let ended: Vec<DataCentreId> = self
+        let is_unlisted = |(data_centre, since): &(&DataCentreId, &Position)| {
+            **since <= position && !listed.contains_key(*data_centre)
+        };
+        let unlisted: Vec<(DataCentreId, Position)> = self
             .evacuated
             .iter()
-            .filter(|(data_centre, since)| {
-                **since <= revision && !evacuated.contains_key(*data_centre)
-            })
-            .map(|(data_centre, _)| data_centre.clone())
+            .filter(is_unlisted)
+            .map(|(data_centre, since)| (data_centre.clone(), *since))
             .collect();
-        for data_centre in ended {
-            self.end_evacuation(&data_centre, now);
+        for (data_centre, since) in unlisted {
+            if since.era < position.era {
+                // The copy that the store was restored from may be older.
+                self.not_restored
+                    .entry(data_centre)
+                    .or_insert(now + RESTORE_GRACE);
+            } else if !self.not_restored.contains_key(&data_centre) {
+                self.end_evacuation(&data_centre, now);
+            }
+        }
+        self.doubted.retain(|d, _| listed.contains_key(d));
+        for (data_centre, at) in listed {
+            if at.era == position.era {
+                self.not_restored.remove(&data_centre);
+            } else {
+                // Another VM holds it although the store lost it.
+                self.not_restored
+                    .entry(data_centre.clone())
+                    .or_insert(now + RESTORE_GRACE);
+            }
+            self.begin_evacuation(data_centre, at, now);
         }
-        self.evacuated.extend(evacuated);
     }
 
-    /// Applies one change.
+    /// Applies one change that the store made.
     pub fn change(&mut self, change: &Change, now: Time) {
         let data_centre = DataCentreId::new(&change.object.name);
-        let known = self.evacuated.get(&data_centre).copied();
-        let revision = change.object.revision;
+        let position = change.object.position;
         if !change.removed {
-            if known.is_none_or(|k| k < revision) {
-                self.evacuated.insert(data_centre, revision);
-            }
-        } else if known.is_some_and(|k| k <= revision) {
+            self.not_restored.remove(&data_centre);
+            self.begin_evacuation(data_centre, position, now);
+            return;
+        }
+        self.doubted.remove(&data_centre);
+        let known = self.evacuated.get(&data_centre);
+        if known.is_some_and(|k| *k <= position) {
             self.end_evacuation(&data_centre, now);
         }
     }
 
+    fn begin_evacuation(&mut self, data_centre: DataCentreId, position: Position, now: Time) {
+        if self
+            .evacuated
+            .get(&data_centre)
+            .is_some_and(|k| *k >= position)
+        {
+            return;
+        }
+        let ended = self.returned.get(&data_centre).map(|r| r.evacuated);
+        // An object keeps its revision in a copy; one that is written again has
+        // another.
+        let is_copy =
+            |ended: Position| ended.era < position.era && ended.revision == position.revision;
+        if ended.is_some_and(is_copy) {
+            self.doubted
+                .entry(data_centre)
+                .or_insert((position, now + RESTORE_GRACE));
+            return;
+        }
+        self.doubted.remove(&data_centre);
+        self.evacuated.insert(data_centre, position);
+    }
+
     fn end_evacuation(&mut self, data_centre: &DataCentreId, now: Time) {
-        self.evacuated.remove(data_centre);
-        self.returned_at.insert(data_centre.clone(), now);
+        self.not_restored.remove(data_centre);
+        let Some(evacuated) = self.evacuated.remove(data_centre) else {
+            return;
+        };
+        let returned = Returned { at: now, evacuated };
+        self.returned.insert(data_centre.clone(), returned);
+    }
+
+    /// Believes a restored store where operators had the time to write what it
+    /// lost.
+    pub fn tick(&mut self, now: Time) {
+        let is_due = |until: &Time| now >= *until;
+        let lost: Vec<DataCentreId> = self
+            .not_restored
+            .iter()
+            .filter(|(_, until)| is_due(until))
+            .map(|(data_centre, _)| data_centre.clone())
+            .collect();
+        for data_centre in lost {
+            self.end_evacuation(&data_centre, now);
+        }
+        let believed: Vec<(DataCentreId, Position)> = self
+            .doubted
+            .extract_if(|_, (_, until)| is_due(until))
+            .map(|(data_centre, (position, _))| (data_centre, position))
+            .collect();
+        self.evacuated.extend(believed);
     }
 
     /// Returns whether a data centre is evacuated.
@@ -75,19 +165,20 @@
 
     /// Returns whether a data centre recently returned.
     pub fn is_returning(&self, data_centre: &DataCentreId, now: Time) -> bool {
-        self.returned_at
+        self.returned
             .get(data_centre)
-            .is_some_and(|at| now.since(*at) < RETURN_COLD_TIME)
+            .is_some_and(|r| now.since(r.at) < RETURN_COLD_TIME)
     }
 
     /// Exports the evacuated data centres as objects for another VM.
     pub fn export(&self) -> Vec<Object> {
-        let object = |(data_centre, revision): (&DataCentreId, &Revision)| Object {
+        let object = |(data_centre, position): (&DataCentreId, &Position)| Object {
             name: data_centre.as_str().to_owned(),
-            revision: *revision,
+            position: *position,
             value: Some(Value::Evacuation(data_centre.clone())),
         };
-        self.evacuated.iter().map(object).collect()
+        let doubted = self.doubted.iter().map(|(d, (position, _))| (d, position));
+        self.evacuated.iter().chain(doubted).map(object).collect()
     }
 }
 
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -23,11 +23,13 @@
         SnapshotRequest,
         TagLoad, //
     },
+    routing::Activation,
     store::{
         Change,
+        Era,
         Kind,
         Object,
-        Revision,
+        Position,
         Value, //
     },
     store_reader::Update, //
@@ -52,27 +54,28 @@
         &mut self,
         kind: Kind,
         update: Update,
-        revision: Revision,
+        position: Position,
         as_of: Time,
         source: Source,
         now: Time,
     ) {
         let has_changes = match &update {
-            Update::All(_) => revision > self.sync.get(kind).revision,
+            Update::All(_) => position > self.sync.get(kind).position,
             Update::Changes(changes) => !changes.is_empty(),
         };
         if has_changes {
             match update {
-                Update::All(objects) => self.apply_all(kind, objects, revision, now),
+                Update::All(objects) => self.apply_all(kind, objects, position, now),
                 Update::Changes(changes) => self.apply_changes(kind, changes, now),
             }
             self.peers.send_soon(now);
         }
-        self.sync.advance(kind, revision, has_changes, as_of);
+        self.record_doubts();
+        self.sync.advance(kind, position, has_changes, as_of);
         if has_changes {
             self.decisions.push(Decision::StoreUpdateApplied {
                 kind,
-                revision,
+                position,
                 version: self.routing.configuration().version,
                 source,
                 age: now.since(as_of),
@@ -82,12 +85,19 @@
         self.update_readiness(now);
     }
 
-    fn apply_all(&mut self, kind: Kind, objects: Vec<Object>, revision: Revision, now: Time) {
+    fn record_doubts(&mut self) {
+        let backends = self.directory.take_doubted();
+        if backends > 0 {
+            self.decisions.push(Decision::BackendsDoubted { backends });
+        }
+    }
+
+    fn apply_all(&mut self, kind: Kind, objects: Vec<Object>, position: Position, now: Time) {
         let gone_at = self.sync.outage_settled_at();
         match kind {
             Kind::Configuration => objects.into_iter().for_each(|o| self.configure(o)),
-            Kind::BackendServers => self.directory.replace(&objects, revision, gone_at, now),
-            Kind::Evacuations => self.directory.evacuations.replace(&objects, revision, now),
+            Kind::BackendServers => self.directory.replace(&objects, position, gone_at, now),
+            Kind::Evacuations => self.directory.evacuations.replace(&objects, position, now),
         }
     }
 
@@ -104,11 +114,28 @@
     }
 
     fn configure(&mut self, object: Object) {
-        if let Some(Value::Configuration(cfg)) = object.value {
-            self.routing.apply(object.revision, cfg);
+        let Some(Value::Configuration(cfg)) = object.value else {
+            return;
+        };
+        let version = cfg.version;
+        if self.routing.apply(object.position, cfg) == Activation::HeldBack {
+            self.decisions.push(Decision::ConfigurationHeldBack {
+                version,
+                active: self.routing.configuration().version,
+                position: object.position,
+            });
         }
     }
 
+    /// Handles that the store was restored from an older copy. The next answers
+    /// show what it lost; it may not list what was written since the copy.
+    pub(super) fn on_restore(&mut self, before: Era, era: Era, now: Time) {
+        self.sync.record_outage(now);
+        self.registration.repeat(now);
+        self.peers.send_soon(now);
+        self.decisions.push(Decision::StoreRestored { before, era });
+    }
+
     /// Creates the heartbeat for the VM at `to`.
     pub fn heartbeat(&mut self, to: SocketAddrV4, now: Time) -> Heartbeat {
         let load = |(tag, load): (_, super::flows::Load)| TagLoad {
@@ -142,6 +169,7 @@
         for contact in &heartbeat.contacts {
             self.peers.add_contact(contact, now);
         }
+        self.observe_peer_era(&heartbeat.kind_reports, now);
         let is_local = heartbeat.data_centre == self.me.data_centre;
         for tag in &heartbeat.dead {
             self.detector
@@ -166,6 +194,16 @@
         }
     }
 
+    fn observe_peer_era(&mut self, reports: &[KindReport], now: Time) {
+        let known = reports.iter().filter(|r| r.position > Position::NONE);
+        let Some(era) = known.map(|r| r.position.era).max() else {
+            return;
+        };
+        if let Some(before) = self.sync.observe_era(era) {
+            self.on_restore(before, era, now);
+        }
+    }
+
     /// Creates queries for kinds of which another VM knows more, except those
     /// that were requested recently.
     fn new_queries(&mut self, kinds: &[Kind], now: Time) -> Vec<KindQuery> {
@@ -178,7 +216,7 @@
             *requested_at = Some(now);
             queries.push(KindQuery {
                 kind: *kind,
-                since: self.sync.get(*kind).revision,
+                since: self.sync.get(*kind).position,
             });
         }
         queries
@@ -190,13 +228,13 @@
         let mut kinds = Vec::new();
         for (kind, report) in Kind::ALL.into_iter().zip(reports) {
             let own = *self.sync.get(kind);
-            if report.revision <= Revision(0) || report.revision < own.revision {
+            if report.position <= Position::NONE || report.position < own.position {
                 continue;
             }
-            if report.changed == own.changed && own.revision > Revision(0) {
+            if report.changed == own.changed && own.position > Position::NONE {
                 let as_of = now - report.age - TRANSIT_TIME;
-                self.sync.confirm(kind, report.revision, as_of);
-            } else if report.revision > own.revision {
+                self.sync.confirm(kind, report.position, as_of);
+            } else if report.position > own.position {
                 kinds.push(kind);
             }
         }
@@ -227,7 +265,7 @@
 
     /// Returns a few VMs that should have a full snapshot.
     fn snapshot_holders(&mut self, requester: SocketAddrV4, now: Time) -> Vec<SocketAddrV4> {
-        let is_synced = |h: &Heartbeat| h.kind_reports.iter().all(|r| r.revision > Revision(0));
+        let is_synced = |h: &Heartbeat| h.kind_reports.iter().all(|r| r.position > Position::NONE);
         let live = self.peers.live(now).map(|m| &m.heartbeat);
         let synced = live
             .filter(|h| is_synced(h) && !h.is_stopping)
@@ -290,7 +328,7 @@
         let exported = match query.kind {
             Kind::Configuration => Exported::full(vec![Object {
                 name: String::new(),
-                revision: self.routing.revision(),
+                position: self.routing.position(),
                 value: Some(Value::Configuration(self.routing.configuration().clone())),
             }]),
             Kind::BackendServers => self.directory.export(query.since, now),
@@ -313,12 +351,12 @@
         for part in snapshot.parts {
             self.requested_at[part.kind as usize] = None;
             let (kind, report) = (part.kind, part.report);
-            if report.revision <= self.sync.get(kind).revision {
+            if report.position <= self.sync.get(kind).position {
                 continue;
             }
             let as_of = made_at - report.age - TRANSIT_TIME;
             let update = into_update(part);
-            self.apply(kind, update, report.revision, as_of, Source::Peer, now);
+            self.apply(kind, update, report.position, as_of, Source::Peer, now);
             self.sync.set_changed(kind, report.changed);
         }
     }
--- a/src/core/steering/flow_resets.rs
+++ b/src/core/steering/flow_resets.rs
@@ -78,7 +78,7 @@
             flow: record.flow,
             tag: record.tag,
             reason,
-            configuration: self.routing.revision(),
+            configuration: self.routing.position(),
         });
     }
 }
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -31,6 +31,7 @@
 pub mod packet;
 pub mod peers;
 pub mod placement;
+pub mod position;
 pub mod readiness;
 pub mod registration;
 pub mod replicas;
@@ -233,6 +234,7 @@
     /// Runs all periodic work that is due.
     pub fn tick(&mut self, now: Time) {
         self.directory.tick(self.sync.outage_settled_at(), now);
+        self.directory.evacuations.tick(now);
         self.reset_ended_backends(now);
         self.reset_unlisted(now);
         self.remove_lost_peers(now);
@@ -288,6 +290,7 @@
             dead: self.detector.dead().count(),
             replicas: self.replicas.len(),
             peers: self.peers.live(now).count(),
+            era: self.sync.era().unwrap_or_default(),
             version: self.routing.configuration().version,
             ages: Kind::ALL.map(|kind| self.sync.age(kind, now)),
         }
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -12,7 +12,7 @@
     store::{
         Kind,
         Object,
-        Revision, //
+        Position, //
     },
     tag::Tag,
 };
@@ -28,10 +28,10 @@
 /// State of one kind of object at a VM.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct KindReport {
-    /// Revision up to which all changes are known; zero if none.
-    pub revision: Revision,
-    /// Revision of the last change.
-    pub changed: Revision,
+    /// Position up to which all changes are known; zero if none.
+    pub position: Position,
+    /// Position of the last change.
+    pub changed: Position,
     /// Time since the store was known to have nothing newer.
     pub age: Millis,
 }
@@ -164,7 +164,7 @@
 impl SnapshotRequest {
     /// Returns whether the requester lacks all objects of a kind.
     pub fn is_full(&self) -> bool {
-        self.queries.iter().any(|q| q.since == Revision(0))
+        self.queries.iter().any(|q| q.since == Position::NONE)
     }
 }
 
@@ -173,7 +173,7 @@
     pub fn full(kind: Kind) -> KindQuery {
         KindQuery {
             kind,
-            since: Revision(0),
+            since: Position::NONE,
         }
     }
 }
@@ -201,8 +201,8 @@
 pub struct KindQuery {
     /// Kind.
     pub kind: Kind,
-    /// Revision up to which the requester knows all changes; zero if none.
-    pub since: Revision,
+    /// Position up to which the requester knows all changes; zero if none.
+    pub since: Position,
 }
 
 /// Objects of several kinds.
@@ -219,10 +219,10 @@
 pub struct SnapshotPart {
     /// Kind.
     pub kind: Kind,
-    /// Revision and age of the objects.
+    /// Position and age of the objects.
     pub report: KindReport,
     /// Whether `objects` is the full list, rather than the changes since the
-    /// requested revision.
+    /// requested position.
     pub is_full: bool,
     /// Existing objects.
     pub objects: Vec<Object>,
--- a/src/core/steering/reader_election.rs
+++ b/src/core/steering/reader_election.rs
@@ -9,6 +9,7 @@
         Source, //
     },
     store::{
+        Era,
         Kind,
         StoreAnswer,
         StoreCall, //
@@ -79,15 +80,24 @@
         let is_suppressed = kind != Kind::Configuration
             && !self.readers[Kind::Configuration as usize].was_answered();
         let is_wanted = !is_suppressed && self.should_read(kind, now);
-        let known = self.sync.get(kind).revision;
+        let known = self.sync.get(kind).position;
         self.readers[kind as usize].next(is_wanted, known, now)
     }
 
-    /// Processes the answer to a call sent at `sent`.
-    pub fn on_answer(&mut self, call: &StoreCall, answer: StoreAnswer, sent: Time, now: Time) {
+    /// Processes the answer to a call sent at `sent`. `era` is that of the store
+    /// when it answered; `None` if it did not.
+    pub fn on_answer(
+        &mut self,
+        call: &StoreCall,
+        answer: StoreAnswer,
+        era: Option<Era>,
+        sent: Time,
+        now: Time,
+    ) {
         let Some(kind) = call.kind() else {
             return;
         };
+        let answer = self.check_era(call, answer, era, now);
         let answers = answer.is_answered();
         if !answers {
             self.sync.record_outage(now);
@@ -101,10 +111,38 @@
         let as_of = as_of(call, &answer, sent, now);
         let max_backoff = self.max_backoff(now);
         let read = self.readers[kind as usize].on_answer(answer, max_backoff, now, &mut self.rng);
-        let Some((update, revision)) = read else {
+        let Some((update, position)) = read else {
             return;
         };
-        self.apply(kind, update, revision, as_of, Source::Store, now);
+        self.apply(kind, update, position, as_of, Source::Store, now);
+    }
+
+    /// Replaces an answer that belongs to another era than the state to which it
+    /// would be applied.
+    fn check_era(
+        &mut self,
+        call: &StoreCall,
+        answer: StoreAnswer,
+        era: Option<Era>,
+        now: Time,
+    ) -> StoreAnswer {
+        let Some(era) = era else {
+            return answer;
+        };
+        if self.sync.era().is_some_and(|newest| era < newest) {
+            // From before the restore, or from a part of the store that has not
+            // noticed it.
+            return StoreAnswer::Busy;
+        }
+        if let Some(before) = self.sync.observe_era(era) {
+            self.on_restore(before, era, now);
+            return StoreAnswer::HistoryGone;
+        }
+        match call {
+            // The revision that the watch began from means another change now.
+            StoreCall::Watch { since, .. } if since.era != era => StoreAnswer::HistoryGone,
+            _ => answer,
+        }
     }
 
     /// Returns whether this VM should read a kind: the first-ranked of the VMs
--- a/src/core/steering/registration.rs
+++ b/src/core/steering/registration.rs
@@ -75,6 +75,12 @@
         })
     }
 
+    /// Registers again, because the store may have lost the registration.
+    pub fn repeat(&mut self, now: Time) {
+        self.is_registered = false;
+        self.next = now;
+    }
+
     /// Processes an answer. Returns the contacts it contains.
     pub fn on_answer(&mut self, answer: StoreAnswer, now: Time) -> Vec<Contact> {
         match answer {
--- a/src/core/steering/routing.rs
+++ b/src/core/steering/routing.rs
@@ -7,7 +7,7 @@
 
 use super::store::{
     Configuration,
-    Revision,
+    Position,
     Service,
     Share, //
 };
@@ -19,7 +19,7 @@
 /// Routes of the active configuration.
 #[derive(Debug, Default)]
 pub struct Routing {
-    revision: Revision,
+    position: Position,
     cfg: Configuration,
     /// Round-robin state of each route.
     ///
@@ -27,6 +27,18 @@
     schedules: HashMap<SocketAddrV4, WeightedRoundRobin>,
 }
 
+/// Outcome of a configuration that was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Activation {
+    /// It is the active one now.
+    Activated,
+    /// The active one is at least as new.
+    Known,
+    /// Its version is lower than that of the active one, as in the older copy
+    /// that a store was restored from. The operators write theirs again.
+    HeldBack,
+}
+
 /// Distributes the new flows of a route by smooth weighted round robin: after
 /// any number of flows, each service is within one flow of its share.
 #[derive(Clone, Debug)]
@@ -39,11 +51,14 @@
 }
 
 impl Routing {
-    /// Activates `cfg` unless it is older than the active one. Returns whether
-    /// it was activated.
-    pub fn apply(&mut self, revision: Revision, cfg: Configuration) -> bool {
-        if revision <= self.revision {
-            return false;
+    /// Activates `cfg` unless it is older than the active one, by its position
+    /// or, in a restored store, by its version. Returns what was done.
+    pub fn apply(&mut self, position: Position, cfg: Configuration) -> Activation {
+        if position <= self.position {
+            return Activation::Known;
+        }
+        if cfg.version < self.cfg.version {
+            return Activation::HeldBack;
         }
         let mut old = std::mem::take(&mut self.schedules);
         for route in &cfg.routes {
@@ -54,19 +69,19 @@
             };
             self.schedules.insert(route.address, schedule);
         }
-        self.revision = revision;
+        self.position = position;
         self.cfg = cfg;
-        true
+        Activation::Activated
     }
 
-    /// Store revision of the active configuration; zero if there is none.
-    pub fn revision(&self) -> Revision {
-        self.revision
+    /// Store position of the active configuration; zero if there is none.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Returns whether there is an active configuration.
     pub fn is_known(&self) -> bool {
-        self.revision > Revision(0)
+        self.position > Position::NONE
     }
 
     /// Returns the active configuration.
--- a/src/core/steering/stats.rs
+++ b/src/core/steering/stats.rs
@@ -1,6 +1,9 @@
 //! Gauges of one VM, for the metrics.
 
-use super::store::Kind;
+use super::store::{
+    Era,
+    Kind, //
+};
 use crate::kernel::clock::Millis;
 
 /// Gauges of one VM.
@@ -20,6 +23,8 @@
     pub replicas: usize,
     /// Number of peers that are heard.
     pub peers: usize,
+    /// Newest era of the store that was seen.
+    pub era: Era,
     /// Operator-assigned version of the active configuration.
     pub version: u64,
     /// Age of the knowledge of each kind, in the order of [`Kind::ALL`].
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -47,7 +47,7 @@
                 flow,
                 tag,
                 reason,
-                configuration: self.routing.revision(),
+                configuration: self.routing.position(),
             }),
             Verdict::Drop(reason) => {
                 self.decisions
@@ -92,7 +92,7 @@
             copy,
             tag,
             fitness,
-            configuration: self.routing.revision(),
+            configuration: self.routing.position(),
             age: now.since(self.sync.get(Kind::BackendServers).as_of),
         });
         self.forward_to(tag)
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -9,6 +9,11 @@
 };
 use smallvec::SmallVec;
 
+pub use super::position::{
+    Era,
+    Position,
+    Revision, //
+};
 use super::{
     peers::Contact,
     tag::BackendKey, //
@@ -42,23 +47,6 @@
     pub const ALL: [Kind; 3] = [Kind::Configuration, Kind::BackendServers, Kind::Evacuations];
 }
 
-/// Revision of the store. A single counter covers all objects.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-    Deserialize,
-)]
-pub struct Revision(pub u64);
-
 /// A backend server, as it describes itself.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct BackendServer {
@@ -141,8 +129,8 @@
 pub struct Object {
     /// Name, unique within its kind.
     pub name: String,
-    /// Revision of its last change.
-    pub revision: Revision,
+    /// Position of its last change.
+    pub position: Position,
     /// Parsed content. `None` if it is invalid or not usable.
     pub value: Option<Value>,
 }
@@ -173,8 +161,8 @@
     Watch {
         /// Kind.
         kind: Kind,
-        /// Revision after which changes are returned.
-        since: Revision,
+        /// Position after which changes are returned.
+        since: Position,
         /// Maximum wait time.
         wait: Millis,
     },
@@ -237,15 +225,15 @@
         objects: Vec<Object>,
         /// Whether another page follows.
         more: bool,
-        /// Revision of the store.
-        revision: Revision,
+        /// Position of the store.
+        position: Position,
     },
     /// Changes, possibly none.
     Changes {
         /// Changes in order.
         changes: Vec<Change>,
-        /// Revision of the store.
-        revision: Revision,
+        /// Position of the store.
+        position: Position,
     },
     /// Registered contacts.
     Contacts(Vec<Contact>),
@@ -253,7 +241,7 @@
     Registered,
     /// A registration exists already, or there is none to replace.
     RegistrationConflict,
-    /// The changes since the requested revision were compacted.
+    /// The changes since the requested position were compacted.
     HistoryGone,
     /// The store rejects the call for now.
     Busy,
--- a/src/core/steering/store_reader.rs
+++ b/src/core/steering/store_reader.rs
@@ -9,7 +9,7 @@
     Change,
     Kind,
     Object,
-    Revision,
+    Position,
     StoreAnswer,
     StoreCall, //
 };
@@ -66,7 +66,7 @@
 pub enum Update {
     /// All objects of the kind.
     All(Vec<Object>),
-    /// Changes since the known revision.
+    /// Changes since the known position.
     Changes(Vec<Change>),
 }
 
@@ -88,9 +88,9 @@
     Listing {
         after: Option<String>,
         objects: Vec<Object>,
-        /// Lowest revision of all pages. Later pages may be newer, so watches
+        /// Lowest position of all pages. Later pages may be newer, so watches
         /// start here.
-        lowest: Option<Revision>,
+        lowest: Option<Position>,
         /// Whether stale pages are acceptable. The following watch reports
         /// later changes.
         allow_stale: bool,
@@ -135,9 +135,9 @@
         }
     }
 
-    /// Returns the next step. `known` is the revision known from any source;
+    /// Returns the next step. `known` is the position known from any source;
     /// zero if none.
-    pub fn next(&mut self, is_wanted: bool, known: Revision, now: Time) -> Step {
+    pub fn next(&mut self, is_wanted: bool, known: Position, now: Time) -> Step {
         if !is_wanted {
             return Step::Wait(IDLE_POLL_INTERVAL);
         }
@@ -147,8 +147,8 @@
         Step::Call(self.call(known))
     }
 
-    fn call(&mut self, known: Revision) -> StoreCall {
-        if known > Revision(0) && self.state.is_skippable() {
+    fn call(&mut self, known: Position) -> StoreCall {
+        if known > Position::NONE && self.state.is_skippable() {
             self.state = State::Watching;
         }
         match &self.state {
@@ -164,7 +164,7 @@
         }
     }
 
-    fn watch(&self, since: Revision, wait: Millis) -> StoreCall {
+    fn watch(&self, since: Position, wait: Millis) -> StoreCall {
         StoreCall::Watch {
             kind: self.kind,
             since,
@@ -177,7 +177,7 @@
         self.is_answered
     }
 
-    /// Processes an answer. Returns the update and its revision. The backoff
+    /// Processes an answer. Returns the update and its position. The backoff
     /// after failures is at most `max_backoff`.
     pub fn on_answer(
         &mut self,
@@ -185,24 +185,24 @@
         max_backoff: Millis,
         now: Time,
         rng: &mut SmallRng,
-    ) -> Option<(Update, Revision)> {
+    ) -> Option<(Update, Position)> {
         self.is_answered = answer.is_answered();
         match answer {
             StoreAnswer::Page {
                 objects,
                 more,
-                revision,
+                position,
             } => {
                 self.failures = 0;
-                self.on_page(objects, more, revision)
+                self.on_page(objects, more, position)
             }
-            StoreAnswer::Changes { changes, revision } => {
+            StoreAnswer::Changes { changes, position } => {
                 self.failures = 0;
                 self.state = State::Watching;
                 if !changes.is_empty() {
                     self.not_before = now + batching_delay(self.kind);
                 }
-                Some((Update::Changes(changes), revision))
+                Some((Update::Changes(changes), position))
             }
             StoreAnswer::HistoryGone => {
                 // A stale list would lead to the same gap.
@@ -225,8 +225,8 @@
         &mut self,
         page: Vec<Object>,
         more: bool,
-        revision: Revision,
-    ) -> Option<(Update, Revision)> {
+        position: Position,
+    ) -> Option<(Update, Position)> {
         let State::Listing {
             after,
             objects,
@@ -236,8 +236,13 @@
         else {
             return None;
         };
-        let revision = lowest.map_or(revision, |l| l.min(revision));
-        *lowest = Some(revision);
+        if lowest.is_some_and(|l| l.era != position.era) {
+            // The store was restored between two pages.
+            self.state = State::new_listing(false);
+            return None;
+        }
+        let position = lowest.map_or(position, |l| l.min(position));
+        *lowest = Some(position);
         let last = page.last().map(|o| o.name.clone());
         objects.extend(page);
         if more && last.is_some() {
@@ -249,7 +254,7 @@
             true => State::Confirming,
             false => State::Watching,
         };
-        Some((Update::All(all), revision))
+        Some((Update::All(all), position))
     }
 
     /// Schedules a retry with exponential backoff and jitter, so that the VMs
--- a/src/core/steering/sync_state.rs
+++ b/src/core/steering/sync_state.rs
@@ -4,8 +4,9 @@
     directory::REREGISTER_TIME,
     peers::KindReport,
     store::{
+        Era,
         Kind,
-        Revision, //
+        Position, //
     },
 };
 use crate::kernel::clock::{
@@ -16,10 +17,10 @@
 /// State of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KindState {
-    /// Revision up to which all changes are known; zero if none.
-    pub revision: Revision,
-    /// Revision of the last change.
-    pub changed: Revision,
+    /// Position up to which all changes are known; zero if none.
+    pub position: Position,
+    /// Position of the last change.
+    pub changed: Position,
     /// When the store was known to have nothing newer.
     pub as_of: Time,
 }
@@ -29,11 +30,27 @@
 pub struct SyncState {
     /// Invariant: in the order of [`Kind::ALL`]. Revisions never decrease.
     known: [KindState; Kind::ALL.len()],
+    /// Newest era of the store that this VM or another one has seen. `None`
+    /// before the first answer.
+    era: Option<Era>,
     /// When the store last failed to answer any VM, as far as known.
     last_outage: Option<Time>,
 }
 
 impl SyncState {
+    /// Returns the newest era seen.
+    pub fn era(&self) -> Option<Era> {
+        self.era
+    }
+
+    /// Records that `era` was seen. Returns the era before if the store was
+    /// restored since.
+    pub fn observe_era(&mut self, era: Era) -> Option<Era> {
+        let before = self.era;
+        self.era = before.max(Some(era));
+        before.filter(|b| *b < era)
+    }
+
     /// Returns the state of a kind.
     pub fn get(&self, kind: Kind) -> &KindState {
         &self.known[kind as usize]
@@ -41,7 +58,7 @@
 
     /// Returns whether a kind was ever received.
     pub fn is_known(&self, kind: Kind) -> bool {
-        self.get(kind).revision > Revision(0)
+        self.get(kind).position > Position::NONE
     }
 
     /// Returns the age of the view of a kind. `None` if the kind is unknown.
@@ -49,28 +66,28 @@
         self.is_known(kind).then(|| now.since(self.get(kind).as_of))
     }
 
-    /// Records that all changes up to `revision` are known. `changed` tells
+    /// Records that all changes up to `position` are known. `changed` tells
     /// whether there were any.
-    pub fn advance(&mut self, kind: Kind, revision: Revision, changed: bool, as_of: Time) {
+    pub fn advance(&mut self, kind: Kind, position: Position, changed: bool, as_of: Time) {
         let known = &mut self.known[kind as usize];
         if changed {
-            known.changed = known.changed.max(revision);
+            known.changed = known.changed.max(position);
         }
-        self.confirm(kind, revision, as_of);
+        self.confirm(kind, position, as_of);
     }
 
-    /// Records that the view matched the store at `revision`.
-    pub fn confirm(&mut self, kind: Kind, revision: Revision, as_of: Time) {
+    /// Records that the view matched the store at `position`.
+    pub fn confirm(&mut self, kind: Kind, position: Position, as_of: Time) {
         let known = &mut self.known[kind as usize];
-        if revision >= known.revision {
+        if position >= known.position {
             known.as_of = known.as_of.max(as_of);
         }
-        known.revision = known.revision.max(revision);
+        known.position = known.position.max(position);
     }
 
-    /// Sets the revision of the last change to that of a VM whose objects were
+    /// Sets the position of the last change to that of a VM whose objects were
     /// adopted.
-    pub fn set_changed(&mut self, kind: Kind, changed: Revision) {
+    pub fn set_changed(&mut self, kind: Kind, changed: Position) {
         self.known[kind as usize].changed = changed;
     }
 
@@ -107,7 +124,7 @@
     pub fn kind_report(&self, kind: Kind, now: Time) -> KindReport {
         let known = self.get(kind);
         KindReport {
-            revision: known.revision,
+            position: known.position,
             changed: known.changed,
             age: now.since(known.as_of),
         }
--- a/src/edge/steering/entry_vm.rs
+++ b/src/edge/steering/entry_vm.rs
@@ -37,12 +37,12 @@
         names::Incarnation,
         notice::Notice,
         steering::{
-            Action,
-            Identity,
-            Steering,
-            TICK,
+            Action, Identity, Steering, TICK,
             readiness::ROUTER_NOTICE_TIME,
-            store::Kind, //
+            store::{
+                Era,
+                Kind, //
+            },
         },
     },
     edge::log::log_notice,
@@ -85,6 +85,10 @@
     pub packets: UdpSocket,
     /// The socket for datagrams to and from other VMs.
     pub peers: UdpSocket,
+    /// Era in the last response of the store that had one.
+    pub store_era: Cell<Era>,
+    /// Whether a missing era was logged.
+    pub is_era_missing: Cell<bool>,
     /// Encoded snapshots for other VMs.
     pub snapshots: RefCell<EncodedSnapshots>,
     /// When the last client packet arrived.
@@ -121,6 +125,8 @@
             log: RefCell::default(),
             packets: UdpSocket::bind(settings.packets).await?,
             peers: UdpSocket::bind(settings.peers).await?,
+            store_era: Cell::default(),
+            is_era_missing: Cell::default(),
             snapshots: RefCell::default(),
             last_packet_at: Cell::new(Time::default()),
             settings,
--- a/src/edge/steering/format.rs
+++ b/src/edge/steering/format.rs
@@ -12,6 +12,7 @@
         Target, //
     },
     store::{
+        Era,
         StoreAnswer,
         StoreCall, //
     },
@@ -81,6 +82,11 @@
     /// Builds the HTTP request for a store call.
     fn store_request(&self, call: &StoreCall) -> StoreRequest;
 
-    /// Parses the HTTP status and body of the response to a store call.
-    fn read_answer(&self, call: &StoreCall, status: u16, body: &[u8]) -> StoreAnswer;
+    /// Returns the name of the HTTP header in which the store gives its era, a
+    /// decimal number.
+    fn era_header(&self) -> &'static str;
+
+    /// Parses the HTTP status and body of the response to a store call. `era` is
+    /// that of the response.
+    fn read_answer(&self, call: &StoreCall, status: u16, era: Era, body: &[u8]) -> StoreAnswer;
 }
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -89,7 +89,7 @@
             configuration,
             age,
         } => {
-            log_decision!(decision, %flow, copy, backend = %tag, ?fitness, configuration = configuration.0, age_ms = age.0);
+            log_decision!(decision, %flow, copy, backend = %tag, ?fitness, configuration = configuration.revision.0, age_ms = age.0);
         }
         Decision::FlowReset {
             flow,
@@ -98,7 +98,7 @@
             configuration,
         } => {
             let backend = format_tag(*tag);
-            log_decision!(decision, %flow, backend, %reason, configuration = configuration.0);
+            log_decision!(decision, %flow, backend, %reason, configuration = configuration.revision.0);
         }
         Decision::PacketDropped { flow, tag, reason } => {
             let backend = format_tag(*tag);
@@ -118,13 +118,26 @@
         Decision::BackendEnded { tag, flows } => log_decision!(decision, backend = %tag, flows),
         Decision::StoreUpdateApplied {
             kind,
-            revision,
+            position,
             version,
             source,
             age,
         } => {
-            log_decision!(decision, %kind, revision = revision.0, version, %source, age_ms = age.0);
+            let (era, revision) = (position.era.0, position.revision.0);
+            log_decision!(decision, %kind, era, revision, version, %source, age_ms = age.0);
         }
+        Decision::StoreRestored { before, era } => {
+            log_decision!(decision, before = before.0, era = era.0);
+        }
+        Decision::ConfigurationHeldBack {
+            version,
+            active,
+            position,
+        } => {
+            let (era, revision) = (position.era.0, position.revision.0);
+            log_decision!(decision, version, active, era, revision);
+        }
+        Decision::BackendsDoubted { backends } => log_decision!(decision, backends),
         Decision::Readiness { is_ready, backends } => log_decision!(decision, is_ready, backends),
         Decision::TakenOver {
             data_centre,
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -66,6 +66,7 @@
     packets: Family<OutcomeLabels, Counter>,
     calls: Family<CallLabels, Counter>,
     probes: Family<OutcomeLabels, Counter>,
+    missing_eras: Counter,
     response_times: Histogram,
 }
 
@@ -76,6 +77,7 @@
             packets: Family::default(),
             calls: Family::default(),
             probes: Family::default(),
+            missing_eras: Counter::default(),
             response_times: Histogram::new(RESPONSE_TIME_BUCKETS),
         }
     }
@@ -122,6 +124,11 @@
         self.calls.get_or_create(&labels).inc();
     }
 
+    /// Counts a response of the store without a valid era.
+    pub fn count_missing_era(&self) {
+        self.missing_eras.inc();
+    }
+
     /// Counts a backend server probe by its outcome.
     pub fn count_probe(&self, outcome: ProbeOutcome) {
         let outcome = match outcome {
@@ -164,6 +171,11 @@
         );
         registry.register("packets", "Packets of clients", self.packets.clone());
         registry.register("store_calls", "Calls to the store", self.calls.clone());
+        registry.register(
+            "store_answers_without_era",
+            "Answers of the store without a valid era",
+            self.missing_eras.clone(),
+        );
         registry.register("probes", "Probes of backend servers", self.probes.clone());
         registry.register(
             "answer_seconds",
@@ -223,6 +235,11 @@
             stats.replicas as u64,
         ),
         ("peers", "Other VMs that are heard", stats.peers as u64),
+        (
+            "store_era",
+            "Era of the store, which rises when it is restored from a copy",
+            stats.era.0,
+        ),
         (
             "configuration_version",
             "The operators' number",
--- a/src/edge/steering/store.rs
+++ b/src/edge/steering/store.rs
@@ -13,7 +13,8 @@
 };
 use awc::{
     Client,
-    Connector, //
+    Connector,
+    http::header::HeaderMap, //
 };
 use bytes::Bytes;
 use futures_util::future::{
@@ -32,6 +33,7 @@
 use crate::{
     core::steering::{
         store::{
+            Era,
             Kind,
             StoreAnswer,
             StoreCall, //
@@ -69,13 +71,15 @@
             Step::Call(call) => call,
         };
         let sent = vm.clock.now();
-        let answer = call_store(&vm, &client, &call).await;
+        let (answer, era) = call_store(&vm, &client, &call).await;
         if answer == StoreAnswer::NoAnswer {
             // The connection may be dead; the next call opens a new one.
             client = new_client();
         }
         let now = vm.clock.now();
-        vm.steering.borrow_mut().on_answer(&call, answer, sent, now);
+        vm.steering
+            .borrow_mut()
+            .on_answer(&call, answer, era, sent, now);
         vm.run_actions();
     }
 }
@@ -101,43 +105,78 @@
         let Some(call) = call else {
             continue;
         };
-        let answer = call_store(&vm, &new_client(), &call).await;
+        let (answer, _) = call_store(&vm, &new_client(), &call).await;
         let now = vm.clock.now();
         vm.steering.borrow_mut().on_registration(answer, now);
     }
 }
 
+/// Returns the answer and the era of the store, if it answered.
 async fn call_store<F: PlatformFormat>(
     vm: &EntryVm<F>,
     client: &Client,
     call: &StoreCall,
-) -> StoreAnswer {
+) -> (StoreAnswer, Option<Era>) {
     let request = vm.format.store_request(call);
     let limit = Duration::from_millis((RESPONSE_TIMEOUT + call.wait()).0);
     let subject = call.subject();
     let response = Box::pin(send(client, vm.settings.store, request));
     let finished = select(response, Box::pin(vm.resumed.notified()));
-    let answer = match timeout(limit, finished).await {
-        Ok(Either::Right(_)) => StoreAnswer::NoAnswer,
-        Ok(Either::Left((Ok((status, body)), _))) => vm.format.read_answer(call, status, &body),
+    let response = match timeout(limit, finished).await {
+        Ok(Either::Right(_)) => None,
+        Ok(Either::Left((Ok(response), _))) => Some(response),
         Ok(Either::Left((Err(e), _))) => {
             tracing::debug!(subject, error = %e, "a call to the store failed");
-            StoreAnswer::NoAnswer
+            None
         }
         Err(_) => {
             tracing::debug!(subject, "a call to the store timed out");
-            StoreAnswer::NoAnswer
+            None
         }
     };
+    let Some(response) = response else {
+        vm.metrics.count_call(subject, &StoreAnswer::NoAnswer);
+        return (StoreAnswer::NoAnswer, None);
+    };
+    let era = read_era(vm, &response.headers);
+    let answer = vm
+        .format
+        .read_answer(call, response.status, era, &response.body);
     vm.metrics.count_call(subject, &answer);
-    answer
+    (answer, Some(era))
+}
+
+/// Returns the era in the headers of a response. A store that gives none, or one
+/// that cannot be read, is taken to be in the same era as before.
+fn read_era<F: PlatformFormat>(vm: &EntryVm<F>, headers: &HeaderMap) -> Era {
+    let value = headers.get(vm.format.era_header());
+    let text = value.and_then(|v| v.to_str().ok());
+    if let Some(number) = text.and_then(|t| t.trim().parse().ok()) {
+        vm.store_era.set(vm.store_era.get().max(Era(number)));
+        return Era(number);
+    }
+    let era = vm.store_era.get();
+    vm.metrics.count_missing_era();
+    let was_known = era > Era::default();
+    if (was_known || value.is_some()) && !vm.is_era_missing.replace(true) {
+        let header = vm.format.era_header();
+        tracing::warn!(header, ?value, %era, "a response of the store has no valid era; check the store");
+    }
+    era
+}
+
+/// A response of the store.
+struct Response {
+    status: u16,
+    headers: HeaderMap,
+    body: Bytes,
 }
 
 async fn send(
     client: &Client,
     store: SocketAddrV4,
     request: StoreRequest,
-) -> Result<(u16, Bytes), Box<dyn Error>> {
+) -> Result<Response, Box<dyn Error>> {
     let url = format!("http://{store}{}", request.path);
     let call = match request.method {
         Method::Get => client.get(url),
@@ -149,5 +188,9 @@
         None => call.send().await?,
     };
     let body = response.body().limit(MAX_RESPONSE).await?;
-    Ok((response.status().as_u16(), body))
+    Ok(Response {
+        status: response.status().as_u16(),
+        headers: response.headers().clone(),
+        body,
+    })
 }
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -42,8 +42,10 @@
                 BackendServer,
                 Change,
                 Configuration,
+                Era,
                 Kind,
                 Object,
+                Position,
                 Revision,
                 Route,
                 Service,
@@ -83,6 +85,14 @@
 /// An in-memory store.
 #[derive(Debug, Default)]
 pub struct FakeStore {
+    /// Number of restores.
+    era: u64,
+    content: StoreContent,
+}
+
+/// Everything that a restore from a copy brings back.
+#[derive(Clone, Debug, Default)]
+pub struct StoreContent {
     revision: u64,
     objects: BTreeMap<(Kind, String), Object>,
     history: Vec<(u64, Kind, Change)>,
@@ -93,63 +103,99 @@
 }
 
 impl FakeStore {
+    fn position(&self) -> Position {
+        Position::new(Era(self.era), Revision(self.content.revision))
+    }
+
+    /// Copies the content, for a later restore.
+    pub fn copy(&self) -> StoreContent {
+        self.content.clone()
+    }
+
+    /// Restores the content from a copy, which begins a new era.
+    pub fn restore(&mut self, copy: StoreContent) {
+        self.content = copy;
+        self.era += 1;
+        let era = Era(self.era);
+        for object in self.content.objects.values_mut() {
+            object.position.era = era;
+        }
+        for (_, _, change) in &mut self.content.history {
+            change.object.position.era = era;
+        }
+    }
+
+    /// Returns whether the store does not have a revision yet.
+    fn is_ahead(&self, since: Position) -> bool {
+        since.revision.0 > self.content.revision
+    }
+
     /// Writes an object and returns its revision.
-    pub fn put(&mut self, kind: Kind, name: &str, value: Option<Value>) -> Revision {
-        self.revision += 1;
+    pub fn put(&mut self, kind: Kind, name: &str, value: Option<Value>) -> Position {
+        self.content.revision += 1;
         let object = Object {
             name: name.to_owned(),
-            revision: Revision(self.revision),
+            position: self.position(),
             value,
         };
-        self.objects.insert((kind, name.to_owned()), object.clone());
+        self.content
+            .objects
+            .insert((kind, name.to_owned()), object.clone());
         self.record(kind, object, false);
-        Revision(self.revision)
+        self.position()
     }
 
     /// Removes an object.
     pub fn remove(&mut self, kind: Kind, name: &str) {
-        if let Some(mut object) = self.objects.remove(&(kind, name.to_owned())) {
-            self.revision += 1;
-            object.revision = Revision(self.revision);
+        if let Some(mut object) = self.content.objects.remove(&(kind, name.to_owned())) {
+            self.content.revision += 1;
+            object.position = self.position();
             self.record(kind, object, true);
         }
     }
 
     /// Compacts the history, as a store may do at any time.
     pub fn compact(&mut self) {
-        self.forgotten = self.revision;
-        self.history.clear();
+        self.content.forgotten = self.content.revision;
+        self.content.history.clear();
     }
 
     fn record(&mut self, kind: Kind, object: Object, removed: bool) {
         let change = Change { object, removed };
-        self.history.push((self.revision, kind, change));
+        self.content
+            .history
+            .push((self.content.revision, kind, change));
     }
 
     /// Answers a call, or returns `None` if a watch has to wait.
     fn answer(&self, call: &StoreCall) -> Option<StoreAnswer> {
-        let revision = Revision(self.revision);
+        let position = self.position();
         match call {
             StoreCall::List { kind, after, .. } => Some(self.page(*kind, after.as_deref())),
-            StoreCall::Watch { since, .. } if since.0 < self.forgotten => {
+            StoreCall::Watch { since, .. } if self.is_ahead(*since) => {
+                Some(StoreAnswer::HistoryGone)
+            }
+            StoreCall::Watch { since, .. } if since.revision.0 < self.content.forgotten => {
                 Some(StoreAnswer::HistoryGone)
             }
             StoreCall::Watch { kind, since, .. } => {
                 let changes: Vec<Change> = self
+                    .content
                     .history
                     .iter()
-                    .filter(|(changed_at, k, _)| *changed_at > since.0 && k == kind)
+                    .filter(|(changed_at, k, _)| *changed_at > since.revision.0 && k == kind)
                     .map(|(_, _, change)| change.clone())
                     .collect();
-                (!changes.is_empty()).then_some(StoreAnswer::Changes { changes, revision })
+                (!changes.is_empty()).then_some(StoreAnswer::Changes { changes, position })
             }
-            StoreCall::Lookup => Some(StoreAnswer::Contacts(self.contacts.clone())),
+            StoreCall::Lookup => Some(StoreAnswer::Contacts(self.content.contacts.clone())),
             StoreCall::Register { .. } => Some(StoreAnswer::Registered),
         }
     }
 
     fn page(&self, kind: Kind, after: Option<&str>) -> StoreAnswer {
         let all = self
+            .content
             .objects
             .iter()
             .filter(|((k, name), _)| *k == kind && after.is_none_or(|a| name.as_str() > a))
@@ -160,7 +206,7 @@
         StoreAnswer::Page {
             objects,
             more,
-            revision: Revision(self.revision),
+            position: self.position(),
         }
     }
 }
@@ -346,14 +392,15 @@
                 false => self.store.answer(call).or_else(|| {
                     (waited >= call.wait()).then_some(StoreAnswer::Changes {
                         changes: Vec::new(),
-                        revision: Revision(self.store.revision),
+                        position: self.store.position(),
                     })
                 }),
             };
             let (call, sent) = (call.clone(), *sent);
             if let Some(answer) = answer {
                 machine.pending_calls.remove(&kind);
-                machine.steering.on_answer(&call, answer, sent, now);
+                let era = answer.is_answered().then_some(Era(self.store.era));
+                machine.steering.on_answer(&call, answer, era, sent, now);
             }
             return;
         }
@@ -380,7 +427,7 @@
         };
         self.calls += 1;
         if let StoreCall::Register { contact, .. } = &call {
-            self.store.contacts.push(contact.clone());
+            self.store.content.contacts.push(contact.clone());
         }
         if let Some(answer) = self.store.answer(&call) {
             self.vm(vm).on_registration(answer, now);
@@ -512,7 +559,7 @@
 
     /// Writes a configuration with one route that is shared by the given
     /// services and weights.
-    pub fn configure(&mut self, version: u64, shares: &[(&str, u32)]) -> Revision {
+    pub fn configure(&mut self, version: u64, shares: &[(&str, u32)]) -> Position {
         let value = Value::Configuration(configuration(version, shares));
         self.store.put(Kind::Configuration, "main", Some(value))
     }
--- a/tests/platform_objects.rs
+++ b/tests/platform_objects.rs
@@ -12,8 +12,10 @@
             store::{
                 BackendServer,
                 Configuration,
+                Era,
                 Kind,
                 Object,
+                Position,
                 Revision,
                 StoreAnswer,
                 StoreCall,
@@ -35,6 +37,8 @@
     json, //
 };
 
+const ERA: Era = Era(2);
+
 fn list(kind: Kind) -> StoreCall {
     StoreCall::List {
         kind,
@@ -46,13 +50,13 @@
 fn watch(kind: Kind) -> StoreCall {
     StoreCall::Watch {
         kind,
-        since: Revision(530),
+        since: Position::new(ERA, Revision(530)),
         wait: Millis(1_500),
     }
 }
 
 fn parse(call: &StoreCall, status: u16, body: &Json) -> StoreAnswer {
-    PlatformAdapter.read_answer(call, status, body.to_string().as_bytes())
+    PlatformAdapter.read_answer(call, status, ERA, body.to_string().as_bytes())
 }
 
 fn item(name: &str, spec: Json) -> Json {
@@ -224,7 +228,7 @@
         .position(|w| w == b"XX")
         .expect("the placeholder");
     bytes[offset] = 0xff;
-    let answer = PlatformAdapter.read_answer(&list(Kind::BackendServers), 200, &bytes);
+    let answer = PlatformAdapter.read_answer(&list(Kind::BackendServers), 200, ERA, &bytes);
     let StoreAnswer::Page { objects, .. } = answer else {
         panic!("{answer:?}");
     };
@@ -259,10 +263,10 @@
         {"deleted": false, "object": item("bud-b", json!({}))},
     ]});
     let answer = parse(&watch(Kind::Evacuations), 200, &body);
-    let StoreAnswer::Changes { changes, revision } = answer else {
+    let StoreAnswer::Changes { changes, position } = answer else {
         panic!("{answer:?}");
     };
-    assert_eq!(revision, Revision(533));
+    assert_eq!(position, Position::new(ERA, Revision(533)));
     assert!(changes[0].removed && !changes[1].removed);
     assert!(
         matches!(&changes[1].object.value, Some(Value::Evacuation(p)) if p.as_str() == "bud-b")
@@ -291,7 +295,7 @@
     fn any_body_is_parsed_or_rejected(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         for kind in Kind::ALL {
             for call in [list(kind), watch(kind)] {
-                let _ = PlatformAdapter.read_answer(&call, 200, &bytes);
+                let _ = PlatformAdapter.read_answer(&call, 200, ERA, &bytes);
             }
         }
     }
@@ -302,6 +306,6 @@
         let mut bytes = body.to_string().into_bytes();
         let offset = offset % bytes.len();
         bytes[offset] = byte;
-        let _ = PlatformAdapter.read_answer(&list(Kind::Configuration), 200, &bytes);
+        let _ = PlatformAdapter.read_answer(&list(Kind::Configuration), 200, ERA, &bytes);
     }
 }
