Keep the calls of a fleet to a store that is away constant

Ruled out: longer back-off alone (the first calls, not the retries, are the herd).

Now VMs that are not hubs share eight calls a second while a store is known to be away, ask for the configuration first, and only hubs register.

Test, first failing: steering_start (a_store_that_is_away_is_not_called_by_all_vms).

--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -183,6 +183,11 @@
         selected
     }
 
+    /// Returns the number of known peers, heard or not.
+    pub fn known(&self) -> usize {
+        self.known.len()
+    }
+
     /// Returns whether other VMs contact this one at their start.
     pub fn is_seed(&self) -> bool {
         self.is_seed
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -207,7 +207,7 @@
     pub fn next_registration(&mut self, now: Time) -> Option<StoreCall> {
         let status = ReaderStatus {
             has_peers: self.peers.live(now).next().is_some(),
-            is_reader: self.rank(now) == 0 && self.store_answers(),
+            is_reader: self.peers.is_hub() && self.rank(now) == 0 && self.store_answers(),
         };
         self.registration.next(status, &self.me.contact(), now)
     }
--- a/src/core/steering/reader_election.rs
+++ b/src/core/steering/reader_election.rs
@@ -49,6 +49,19 @@
 /// Length of a slot.
 const NON_HUB_SLOT: Millis = Millis(140);
 
+/// Mean interval between the calls of all VMs that are not hubs together, during
+/// an outage of the store. The hubs call as well; the others find a store that
+/// answers only some VMs.
+const FLEET_CALL_INTERVAL: Millis = Millis(125);
+
+/// An outage of the store is over this long after the last call of any VM that
+/// was not answered.
+const OUTAGE_TIME: Millis = Millis::from_secs(5);
+
+/// Delay of all VMs that are not hubs, so that they hear of an outage before
+/// they call.
+const NON_HUB_DELAY: Millis = Millis(500);
+
 /// One in this many VMs, besides the seeds, reads the store at its start. The
 /// others fetch a snapshot from these, so that the calls to the store do not
 /// grow with the VMs that start together.
@@ -76,10 +89,7 @@
 impl Steering {
     /// Returns the next step for reading a kind.
     pub fn next_call(&mut self, kind: Kind, now: Time) -> Step {
-        // During an outage, the calls for one kind suffice to detect its end.
-        let is_suppressed = kind != Kind::Configuration
-            && !self.readers[Kind::Configuration as usize].was_answered();
-        let is_wanted = !is_suppressed && self.should_read(kind, now);
+        let is_wanted = !self.waits_for_configuration(kind, now) && self.should_read(kind, now);
         let known = self.sync.get(kind).position;
         self.readers[kind as usize].next(is_wanted, known, now)
     }
@@ -158,6 +168,42 @@
             .is_none_or(|reading_delay| age > watch_time(kind) + RELAY_DELAY + reading_delay)
     }
 
+    /// Returns whether a call for another kind shows first that the store answers.
+    fn waits_for_configuration(&self, kind: Kind, now: Time) -> bool {
+        if kind == Kind::Configuration {
+            return false;
+        }
+        if !self.readers[Kind::Configuration as usize].was_answered() {
+            return true;
+        }
+        let max_age = watch_time(Kind::Configuration) + RELAY_DELAY;
+        let age = self.sync.age(Kind::Configuration, now);
+        let is_outdated = age.is_some_and(|age| age > max_age);
+        is_outdated && self.is_outage(now) && !self.peers.is_hub()
+    }
+
+    /// Returns whether the store failed to answer any VM recently.
+    fn is_outage(&self, now: Time) -> bool {
+        self.sync
+            .last_outage()
+            .is_some_and(|at| now.since(at) < OUTAGE_TIME)
+    }
+
+    /// Returns the length of a slot of the VMs that are not hubs. During an outage
+    /// of the store it grows with the fleet, so that their calls do not.
+    fn non_hub_slot(&self, now: Time) -> Millis {
+        if !self.is_outage(now) {
+            return NON_HUB_SLOT;
+        }
+        NON_HUB_SLOT.max(Millis(self.fleet_call_interval().0 / NON_HUB_SLOTS))
+    }
+
+    /// Returns the interval between two calls of a VM that is not a hub, if all
+    /// of them share [`FLEET_CALL_INTERVAL`].
+    fn fleet_call_interval(&self) -> Millis {
+        Millis(FLEET_CALL_INTERVAL.0 * self.peers.known() as u64)
+    }
+
     /// Returns how long after its start a VM without state reads the store if no
     /// other VM has given it a snapshot.
     fn first_read_delay(&self, now: Time) -> Millis {
@@ -177,7 +223,7 @@
     fn reading_delay(&self, now: Time) -> Option<Millis> {
         if !self.peers.is_hub() && self.peers.live(now).next().is_some() {
             let slot = self.me.vm.hash64() % NON_HUB_SLOTS;
-            return Some(Millis(NON_HUB_SLOT.0 * slot));
+            return Some(NON_HUB_DELAY + Millis(self.non_hub_slot(now).0 * slot));
         }
         match self.rank(now) {
             0 => None,
@@ -199,7 +245,7 @@
         let is_ranked = self.peers.is_hub() && self.rank(now) < STAGGERED_RANKS;
         match is_ranked {
             true => RANKED_MAX_BACKOFF,
-            false => OTHER_MAX_BACKOFF,
+            false => OTHER_MAX_BACKOFF.max(self.fleet_call_interval()),
         }
     }
 
--- a/src/core/steering/store_reader.rs
+++ b/src/core/steering/store_reader.rs
@@ -25,8 +25,9 @@
 /// Maximum duration of a watch on evacuations, which may be detected later.
 const EVACUATION_WATCH_TIME: Millis = Millis(2_500);
 
-/// Maximum duration of the watch after a list that may be stale. Until it ends,
-/// the other VMs hold their knowledge for old and would read as well.
+/// Maximum duration of the watch after a list that may be stale, or after a call
+/// that failed. Until it ends, the other VMs hold their knowledge for old and
+/// would read as well.
 const CONFIRMING_WATCH_TIME: Millis = Millis(20);
 
 /// Returns the maximum duration of a watch of a kind.
@@ -95,7 +96,8 @@
         /// later changes.
         allow_stale: bool,
     },
-    /// The list may be stale: the next watch shows soon how old it is.
+    /// The list may be stale, or the last call failed: the next watch shows soon
+    /// how old the knowledge is.
     Confirming,
     Watching,
 }
@@ -260,9 +262,10 @@
     /// Schedules a retry with exponential backoff and jitter, so that the VMs
     /// do not call at the same time.
     fn back_off(&mut self, max_backoff: Millis, now: Time, rng: &mut SmallRng) {
-        if let State::Listing { allow_stale, .. } = self.state {
-            self.state = State::new_listing(allow_stale);
-        }
+        self.state = match self.state {
+            State::Listing { allow_stale, .. } => State::new_listing(allow_stale),
+            State::Confirming | State::Watching => State::Confirming,
+        };
         let backoff = max_backoff.0 >> MAX_DOUBLINGS.saturating_sub(self.failures);
         self.failures += 1;
         self.not_before = now + Millis(rng.random_range(backoff / 2..=backoff));
--- a/tests/steering_start.rs
+++ b/tests/steering_start.rs
@@ -67,6 +67,47 @@
     assert!(calls <= bound, "{calls} calls");
 }
 
+/// Calls a second of the whole fleet to a store that does not answer: the hubs
+/// try every 0.6 s in the mean, the others together every 0.125 s.
+const MAX_CALLS_PER_SECOND: usize = 30;
+
+#[test]
+fn a_store_that_is_away_is_not_called_by_all_vms() {
+    const SPAN: Millis = Millis(10_000);
+    for store_refuses in [false, true] {
+        let mut sim = start_sim();
+        sim.run(Millis(5_000));
+        sim.without_store = (0..VMS).collect();
+        sim.store_refuses = store_refuses;
+        let before = sim.calls;
+        sim.run(SPAN);
+        let calls = sim.calls - before;
+        let bound = MAX_CALLS_PER_SECOND * SPAN.0 as usize / 1_000;
+        assert!(calls <= bound, "{calls} calls");
+        sim.without_store.clear();
+        sim.configure(2, &[("web", 1)]);
+        sim.run(Millis(3_000));
+        let now = sim.now;
+        let behind = (0..VMS).filter(|vm| sim.vm(*vm).stats(now).version != 2);
+        assert_eq!(behind.count(), 0);
+    }
+}
+
+#[test]
+fn a_change_reaches_a_fleet_whose_hubs_the_store_turns_away() {
+    let mut sim = start_sim();
+    sim.run(Millis(5_000));
+    // The first two VMs of each data centre by name, which are the hubs.
+    sim.without_store = (0..10).collect();
+    sim.store_refuses = true;
+    sim.run(Millis(10));
+    sim.configure(2, &[("web", 1)]);
+    sim.run(Millis(5_000));
+    let now = sim.now;
+    let behind = (0..VMS).filter(|vm| sim.vm(*vm).stats(now).version != 2);
+    assert_eq!(behind.count(), 0);
+}
+
 #[test]
 fn vms_whose_seeds_are_all_gone_read_the_store() {
     let mut sim = start_sim();
