Play restores of the store with real processes and in the soak

The stand-in store gives its era in each answer, copies its state, comes back from the copy and answers 410 to a watch from a revision that it does not have. The soak restores it among its faults and lets backend servers and operators write again. Test: process_steer (a drain at a lower revision after a restore; the version in force stays; event 7017).

--- a/testkit/src/process/users_platform.rs
+++ b/testkit/src/process/users_platform.rs
@@ -22,6 +22,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
             AtomicBool,
+            AtomicU64,
             Ordering, //
         },
     },
@@ -56,8 +57,9 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-#[derive(Default)]
-struct StoreState {
+/// Everything that a restore from a copy brings back.
+#[derive(Clone, Default)]
+pub struct StoreState {
     revision: u64,
     /// Objects by kind and name.
     objects: BTreeMap<(String, String), Json>,
@@ -71,6 +73,8 @@
     address: SocketAddr,
     state: Arc<Mutex<StoreState>>,
     is_down: Arc<AtomicBool>,
+    /// Number of restores, given in all answers.
+    era: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -85,6 +89,7 @@
             address,
             state: Arc::default(),
             is_down: Arc::default(),
+            era: Arc::new(AtomicU64::new(1)),
         };
         let server = store.clone();
         thread::spawn(move || {
@@ -106,6 +111,18 @@
         self.is_down.store(is_down, Ordering::Relaxed);
     }
 
+    /// Copies the state, for a later restore.
+    pub fn copy(&self) -> StoreState {
+        lock(&self.state).clone()
+    }
+
+    /// Restores the state from a copy, which begins a new era.
+    pub fn restore(&self, copy: &StoreState) {
+        let mut state = lock(&self.state);
+        *state = copy.clone();
+        self.era.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Creates or replaces an object and records the change for watches.
     pub fn put(&self, kind: &str, name: &str, spec: &Json) {
         let mut state = lock(&self.state);
@@ -140,7 +157,8 @@
             let path = request.split(' ').nth(1).unwrap_or_default();
             let (status, body) = self.handle_request(path);
             let head = format!(
-                "HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} -\r\nStore-Era: {}\r\nContent-Length: {}\r\n\r\n",
+                self.era.load(Ordering::Relaxed),
                 body.len()
             );
             let result = (&stream).write_all(format!("{head}{body}").as_bytes());
@@ -161,12 +179,13 @@
             let parse_pair = |pair: &str| pair.strip_prefix(key)?.strip_prefix('=')?.parse().ok();
             query.split('&').find_map(parse_pair)
         };
-        match query_number("watch") {
-            None => (200, self.list(kind)),
-            Some(since) => (
-                200,
-                self.watch(kind, since, query_number("waitMs").unwrap_or(0)),
-            ),
+        let Some(since) = query_number("watch") else {
+            return (200, self.list(kind));
+        };
+        let wait_ms = query_number("waitMs").unwrap_or(0);
+        match self.watch(kind, since, wait_ms) {
+            Some(body) => (200, body),
+            None => (410, String::new()),
         }
     }
 
@@ -177,11 +196,16 @@
         json!({"items": items, "more": false, "storeRevision": state.revision}).to_string()
     }
 
-    fn watch(&self, kind: &str, since: u64, wait_ms: u64) -> String {
+    /// Returns the events after `since`, or `None` if the store does not have
+    /// that revision.
+    fn watch(&self, kind: &str, since: u64, wait_ms: u64) -> Option<String> {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         loop {
             {
                 let state = lock(&self.state);
+                if since > state.revision {
+                    return None;
+                }
                 let newer_events = state
                     .events
                     .iter()
@@ -189,7 +213,8 @@
                 let events: Vec<&Json> = newer_events.map(|(_, _, event)| event).collect();
                 if !events.is_empty() || Instant::now() >= deadline {
                     let revision = state.revision;
-                    return json!({"events": events, "storeRevision": revision}).to_string();
+                    let body = json!({"events": events, "storeRevision": revision});
+                    return Some(body.to_string());
                 }
             }
             thread::sleep(WATCH_POLL_INTERVAL);
--- a/tests/process_steer.rs
+++ b/tests/process_steer.rs
@@ -1,6 +1,10 @@
 //! Tests `dragonflytrack steer` processes against a fake of the users' platform.
 
-use std::path::Path;
+use std::{
+    path::Path,
+    thread,
+    time::Duration, //
+};
 
 use dragonflytrack_testkit::process::{
     Signal, http,
@@ -12,6 +16,12 @@
     wait_until,
 };
 
+/// How long the store is away before it is restored.
+const OUTAGE: Duration = Duration::from_millis(1_200);
+
+/// Time within which a change is in force after a restore.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(3);
+
 const BINARY: &str = env!("CARGO_BIN_EXE_dragonflytrack");
 
 /// Starts two VMs and three backend servers; `name` is the directory of the
@@ -88,6 +98,49 @@
     );
 }
 
+#[test]
+fn a_drain_after_a_restore_of_the_store_takes_effect() {
+    let mut system = start("steer-restore");
+    let mut flows = system.open_flows(1_000, 20);
+    let copy = system.store.copy();
+    // Revisions that the copy does not have, so that the drain gets a lower one.
+    for version in 2..30 {
+        system.put_configuration(version, true);
+    }
+    wait_until("the last version is in force", WAIT_TIMEOUT, || {
+        metric(&system, "configuration_version 29")
+    });
+    system.store.set_down(true);
+    thread::sleep(OUTAGE);
+    system.store.restore(&copy);
+    system.store.set_down(false);
+    system.register_backend(0, "draining");
+    let draining_name = system.backends[0].name.clone();
+    let mut port = 2_000;
+    wait_until("new flows avoid the server", CHANGE_TIMEOUT, || {
+        port += 20;
+        let flows = system.open_flows(port, 20);
+        flows.iter().all(|(_, name)| *name != draining_name)
+    });
+    assert!(metric(&system, "store_era 2"));
+    assert!(metric(&system, "configuration_version 29"));
+    system.put_configuration(30, true);
+    wait_until("the next version is in force", CHANGE_TIMEOUT, || {
+        metric(&system, "configuration_version 30")
+    });
+    assert!(system.all_flows_kept(0, &mut flows));
+    let mut process = system.vms[0].process.take().expect("the VM is not running");
+    process.signal(Signal::Terminate);
+    process.wait_timeout(WAIT_TIMEOUT);
+    assert!(process.log().contains("\"event\":7017"));
+}
+
+/// Returns whether the metrics of the first VM contain a line.
+fn metric(system: &SteeringSystem, line: &str) -> bool {
+    let text = http::get(system.vms[0].metrics_address, "/metrics");
+    text.is_ok_and(|t| t.body.contains(&format!("dragonflytrack_steering_{line}")))
+}
+
 #[test]
 fn a_graceful_shutdown_fails_readiness_first_and_keeps_steering() {
     let mut system = start("steer-stop");
--- a/tests/soak_steer.rs
+++ b/tests/soak_steer.rs
@@ -26,7 +26,8 @@
     },
     users_platform::{
         Flow,
-        Reply, //
+        Reply,
+        StoreState, //
     },
     wait_until,
 };
@@ -69,6 +70,8 @@
     draining: Option<(usize, Instant)>,
     version: u64,
     port: u16,
+    /// Copy of the store from which it may be restored.
+    copy: StoreState,
 }
 
 impl Soak {
@@ -77,6 +80,7 @@
         let system = SteeringSystem::start(BINARY, &dir, VMS, BACKENDS);
         Soak {
             flows: system.open_flows(1_000, FLOWS),
+            copy: system.store.copy(),
             system,
             rng: SmallRng::seed_from_u64(seed),
             frozen: BTreeSet::new(),
@@ -100,7 +104,7 @@
     /// Injects a random fault or makes a random change.
     fn apply_random_step(&mut self) {
         let at = self.rng.random_range(0..self.vms());
-        match self.rng.random_range(0..16) {
+        match self.rng.random_range(0..18) {
             0 => self.kill(at),
             1 => self.stop(at),
             2 | 3 if self.frozen.is_empty() => {
@@ -116,6 +120,8 @@
             12 => self.restore_links(),
             13 => self.system.vms[at].store_proxy.reset_connections(),
             14 => self.system.vms[at].peer_proxy.reset_connections(),
+            15 => self.copy = self.system.store.copy(),
+            16 => self.restore_store(),
             _ => {
                 self.version += self.rng.random_range(1..5_u64);
                 self.system.put_configuration(self.version, true);
@@ -123,6 +129,24 @@
         }
     }
 
+    /// Restores the store from the copy. Backend servers and operators write
+    /// again what they wrote.
+    fn restore_store(&mut self) {
+        self.system.store.restore(&self.copy);
+        let pause = self.rng.random_range(0..1_000);
+        thread::sleep(Duration::from_millis(pause));
+        let drained = self.draining.map(|(at, _)| at);
+        for at in 0..self.system.backends.len() {
+            let state = match drained == Some(at) {
+                true => "draining",
+                false => "ready",
+            };
+            self.system.register_backend(at, state);
+        }
+        self.system.put_configuration(self.version, true);
+        self.reset_healthy_since();
+    }
+
     fn degrade_store_link(&mut self, at: usize) {
         let link = self.random_link_fault();
         self.system.vms[at].store_proxy.set_link_state(link);
