--- a/tests/process_steer.rs
+++ b/tests/process_steer.rs
@@ -106,6 +106,7 @@
     // Revisions that the copy does not have, so that the drain gets a lower one.
     for version in 2..30 {
         system.put_configuration(version, true);
+        system.register_backend(0, "ready");
     }
     wait_until("the last version is in force", WAIT_TIMEOUT, || {
         metric(&system, "configuration_version 29")
@@ -122,12 +123,12 @@
         let flows = system.open_flows(port, 20);
         flows.iter().all(|(_, name)| *name != draining_name)
     });
-    assert!(metric(&system, "store_era 2"));
     assert!(metric(&system, "configuration_version 29"));
     system.put_configuration(30, true);
     wait_until("the next version is in force", CHANGE_TIMEOUT, || {
         metric(&system, "configuration_version 30")
     });
+    assert!(metric(&system, "store_era 2"));
     assert!(system.all_flows_kept(0, &mut flows));
     let mut process = system.vms[0].process.take().expect("the VM is not running");
     process.signal(Signal::Terminate);
--- a/tests/soak_steer.rs
+++ b/tests/soak_steer.rs
@@ -53,6 +53,9 @@
 /// The number of consecutive new flows that must avoid a drained backend server.
 const DRAIN_PROBE_FLOWS: usize = 40;
 
+/// How often everything is written shortly before a restore that loses it.
+const LOST_WRITES: usize = 5;
+
 /// The number of attempts to send data on a flow, each through a random VM.
 const MAX_ATTEMPTS: usize = 12;
 
@@ -132,9 +135,18 @@
     /// Restores the store from the copy. Backend servers and operators write
     /// again what they wrote.
     fn restore_store(&mut self) {
+        for _ in 0..LOST_WRITES {
+            self.write_all();
+        }
+        self.sleep_up_to(1_000);
         self.system.store.restore(&self.copy);
-        let pause = self.rng.random_range(0..1_000);
-        thread::sleep(Duration::from_millis(pause));
+        self.sleep_up_to(1_000);
+        self.write_all();
+        self.reset_healthy_since();
+    }
+
+    /// Writes what all backend servers and the operators wrote last.
+    fn write_all(&self) {
         let drained = self.draining.map(|(at, _)| at);
         for at in 0..self.system.backends.len() {
             let state = match drained == Some(at) {
@@ -144,7 +156,11 @@
             self.system.register_backend(at, state);
         }
         self.system.put_configuration(self.version, true);
-        self.reset_healthy_since();
+    }
+
+    fn sleep_up_to(&mut self, max_ms: u64) {
+        let pause = self.rng.random_range(0..max_ms);
+        thread::sleep(Duration::from_millis(pause));
     }
 
     fn degrade_store_link(&mut self, at: usize) {
@@ -329,8 +345,7 @@
     fn run(mut self) {
         for _ in 0..ROUNDS {
             self.apply_random_step();
-            let pause = self.rng.random_range(0..500);
-            thread::sleep(Duration::from_millis(pause));
+            self.sleep_up_to(500);
             self.check_flows();
             self.open_flow();
         }
