Version the messages between VMs and answer a starting VM at once

Now the first heartbeat goes out at once, a seed that was never heard is asked again after 25, 50 and 100 ms, and answers and news do not wait for the tick.

Messages carry a version, because a position has more fields than a revision had: a build without it would read them as something else. Either build refuses the other's messages; refusals are counted and logged once in 10 s. Test: steering_messages.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -68,11 +68,12 @@
                 Update::All(objects) => self.apply_all(kind, objects, position, now),
                 Update::Changes(changes) => self.apply_changes(kind, changes, now),
             }
-            self.peers.send_soon(now);
         }
         self.record_doubts();
         self.sync.advance(kind, position, has_changes, as_of);
         if has_changes {
+            self.peers.send_soon(now);
+            self.send_heartbeats(now);
             self.decisions.push(Decision::StoreUpdateApplied {
                 kind,
                 position,
@@ -185,6 +186,8 @@
         let before = self.peers.record_heartbeat(heartbeat, now);
         if before.is_none() && from != self.me.address {
             self.record_peer(true, sender);
+            // A VM that has just started waits for the answer.
+            self.send_heartbeats(now);
         }
         let before = before.map_or(Vec::new(), |h| h.loads);
         self.remote_loads.replace(&before, &loads);
--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -40,6 +40,13 @@
 /// Interval between two heartbeats.
 pub const HEARTBEAT_INTERVAL: Millis = Millis(250);
 
+/// Interval between the first two heartbeats to a seed that was never heard. It
+/// may start a little later than this VM. Doubles with each retry.
+const FIRST_RETRY_INTERVAL: Millis = Millis(25);
+
+/// Number of such retries.
+const FIRST_RETRIES: u32 = 3;
+
 /// A peer that was not heard for this long counts as lost.
 pub const LOST_AFTER: Millis = Millis(800);
 
@@ -93,6 +100,8 @@
     wants_heartbeats: bool,
     /// When the next heartbeat is due, if it gets any.
     next: Time,
+    /// Heartbeats sent to it before it was first heard.
+    unanswered: u32,
 }
 
 /// Peers of this VM.
@@ -156,6 +165,7 @@
             silent_since: None,
             wants_heartbeats: false,
             next: now,
+            unanswered: 0,
         };
         self.known.insert(address, known);
         self.next_selection = now;
@@ -282,6 +292,7 @@
                 continue;
             }
             known.next = now + known.heartbeat_interval(now);
+            known.unanswered = known.unanswered.saturating_add(1);
             if is_neighbour && now.since(known.heard) >= HEARTBEAT_INTERVAL {
                 known.silent_since.get_or_insert(now);
             }
@@ -374,6 +385,9 @@
     }
 
     fn heartbeat_interval(&self, now: Time) -> Millis {
+        if self.contact.is_none() && self.unanswered < FIRST_RETRIES {
+            return Millis(FIRST_RETRY_INTERVAL.0 << self.unanswered);
+        }
         let is_silent = |since: Time| now.since(since) >= LOST_AFTER;
         if self.silent_since.is_some_and(is_silent) {
             return SILENT_INTERVAL;
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -243,15 +243,20 @@
         self.reset_lost_flows(now);
         self.update_readiness(now);
         self.replicate(now);
-        for to in self.peers.take_due(now) {
-            self.actions.push(Action::Heartbeat { to });
-        }
+        self.send_heartbeats(now);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.sweep(now);
         }
     }
 
+    /// Sends the heartbeats that are due.
+    fn send_heartbeats(&mut self, now: Time) {
+        for to in self.peers.take_due(now) {
+            self.actions.push(Action::Heartbeat { to });
+        }
+    }
+
     /// Removes expired state.
     fn sweep(&mut self, now: Time) {
         self.flows.sweep(self.idle_timeout(), now);
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -38,6 +38,7 @@
 
 /// A datagram between VMs.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[expect(clippy::large_enum_variant, reason = "messages are short-lived")]
 pub enum PeerMessage {
     /// Periodic heartbeat.
     Heartbeat(Heartbeat),
--- a/src/edge/steering/entry_vm.rs
+++ b/src/edge/steering/entry_vm.rs
@@ -89,6 +89,8 @@
     pub store_era: Cell<Era>,
     /// Whether a missing era was logged.
     pub is_era_missing: Cell<bool>,
+    /// When a refused message may be logged again.
+    pub next_refusal_log: Cell<Time>,
     /// Encoded snapshots for other VMs.
     pub snapshots: RefCell<EncodedSnapshots>,
     /// When the last client packet arrived.
@@ -127,6 +129,7 @@
             peers: UdpSocket::bind(settings.peers).await?,
             store_era: Cell::default(),
             is_era_missing: Cell::default(),
+            next_refusal_log: Cell::default(),
             snapshots: RefCell::default(),
             last_packet_at: Cell::new(Time::default()),
             settings,
@@ -219,7 +222,6 @@
 async fn tick<F: PlatformFormat + 'static>(vm: Rc<EntryVm<F>>) {
     let mut suspended = vm.clock.suspended();
     loop {
-        sleep(Duration::from_millis(TICK.0)).await;
         let before = std::mem::replace(&mut suspended, vm.clock.suspended());
         let suspension = suspended - before;
         if suspension > MIN_SUSPENSION {
@@ -229,5 +231,6 @@
         }
         vm.steering.borrow_mut().tick(vm.clock.now());
         vm.run_actions();
+        sleep(Duration::from_millis(TICK.0)).await;
     }
 }
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -67,6 +67,7 @@
     calls: Family<CallLabels, Counter>,
     probes: Family<OutcomeLabels, Counter>,
     missing_eras: Counter,
+    refused_messages: Counter,
     response_times: Histogram,
 }
 
@@ -78,6 +79,7 @@
             calls: Family::default(),
             probes: Family::default(),
             missing_eras: Counter::default(),
+            refused_messages: Counter::default(),
             response_times: Histogram::new(RESPONSE_TIME_BUCKETS),
         }
     }
@@ -124,6 +126,11 @@
         self.calls.get_or_create(&labels).inc();
     }
 
+    /// Counts a message of another VM that cannot be read.
+    pub fn count_refused_message(&self) {
+        self.refused_messages.inc();
+    }
+
     /// Counts a response of the store without a valid era.
     pub fn count_missing_era(&self) {
         self.missing_eras.inc();
@@ -171,6 +178,11 @@
         );
         registry.register("packets", "Packets of clients", self.packets.clone());
         registry.register("store_calls", "Calls to the store", self.calls.clone());
+        registry.register(
+            "peer_messages_refused",
+            "Messages of other VMs that are malformed or of another version",
+            self.refused_messages.clone(),
+        );
         registry.register(
             "store_answers_without_era",
             "Answers of the store without a valid era",
--- a/src/edge/steering/mod.rs
+++ b/src/edge/steering/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry_vm;
 pub mod format;
 pub mod log;
+pub mod message_format;
 pub mod metrics;
 pub mod packets;
 pub mod peers;
--- a/src/edge/steering/peers.rs
+++ b/src/edge/steering/peers.rs
@@ -8,12 +8,22 @@
 use super::{
     entry_vm::EntryVm, //
     format::PlatformFormat,
+    message_format::{
+        self,
+        MessageError, //
+    },
+};
+use crate::{
+    core::steering::peers::PeerMessage,
+    kernel::clock::Millis, //
 };
-use crate::core::steering::peers::PeerMessage;
 
 /// The maximum size of a datagram in bytes.
 const MAX_DATAGRAM: usize = 16_384;
 
+/// The interval between two log lines about refused messages.
+const REFUSAL_LOG_INTERVAL: Millis = Millis::from_secs(10);
+
 /// Starts the task that receives messages.
 pub fn spawn<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>) {
     actix_rt::spawn(receive(Rc::clone(vm)));
@@ -29,19 +39,29 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<PeerMessage>(&buf[..len]) {
+        match message_format::decode::<PeerMessage>(&buf[..len]) {
             Ok(msg) => {
                 let now = vm.clock.now();
                 vm.steering.borrow_mut().on_message(msg, now);
                 vm.run_actions();
             }
-            Err(e) => {
-                tracing::warn!(error = %e, "dropped a malformed message from another VM");
-            }
+            Err(e) => refuse(&vm, &e),
         }
     }
 }
 
+/// Counts a message that cannot be read and logs one within each interval: during
+/// a roll-out there are many.
+fn refuse<F>(vm: &EntryVm<F>, error: &MessageError) {
+    vm.metrics.count_refused_message();
+    let now = vm.clock.now();
+    if now < vm.next_refusal_log.get() {
+        return;
+    }
+    vm.next_refusal_log.set(now + REFUSAL_LOG_INTERVAL);
+    tracing::warn!(%error, "refused a message of another VM");
+}
+
 /// Sends a heartbeat to the VM at `to`.
 pub fn send_heartbeat<F: PlatformFormat + 'static>(vm: &Rc<EntryVm<F>>, to: SocketAddrV4) {
     let heartbeat = vm.steering.borrow_mut().heartbeat(to, vm.clock.now());
@@ -50,7 +70,7 @@
 
 /// Sends a message to the VM at `to`. Failures are logged; nothing is retried.
 pub fn send<F: PlatformFormat + 'static>(vm: &EntryVm<F>, to: SocketAddrV4, msg: &PeerMessage) {
-    let datagram = match postcard::to_allocvec(msg) {
+    let datagram = match message_format::encode(msg) {
         Ok(datagram) => datagram,
         Err(e) => {
             tracing::error!(error = %e, "failed to encode a message to another VM");
--- a/src/edge/steering/snapshots.rs
+++ b/src/edge/steering/snapshots.rs
@@ -2,7 +2,7 @@
 //!
 //! The request is a length and a body. The answer is a length, the age of the
 //! body in milliseconds and the body. Numbers have four bytes, most significant
-//! first; bodies are in the postcard format.
+//! first.
 
 use std::{
     collections::VecDeque,
@@ -32,6 +32,7 @@
 use super::{
     entry_vm::EntryVm, //
     format::PlatformFormat,
+    message_format,
 };
 use crate::{
     core::steering::peers::{
@@ -225,9 +226,8 @@
 }
 
 fn encode(msg: &impl Serialize) -> io::Result<Bytes> {
-    postcard::to_allocvec(msg)
-        .map(Bytes::from)
-        .map_err(io::Error::other)
+    let body = message_format::encode(msg).map_err(io::Error::other)?;
+    Ok(Bytes::from(body))
 }
 
 async fn write_body(stream: &mut TcpStream, body: &[u8]) -> io::Result<()> {
@@ -265,5 +265,5 @@
     }
     let mut body = vec![0; len as usize];
     stream.read_exact(&mut body).await?;
-    postcard::from_bytes(&body).map_err(io::Error::other)
+    message_format::decode(&body).map_err(io::Error::other)
 }
