Let a small fleet start without waiting for its seeds

All VMs read the first page of backend servers at once; where there is no other page, the rest too. In a large fleet that is one call a VM that may be stale.

Test, first failing: steering_start (vms_of_a_small_fleet_..).

--- a/src/core/steering/reader_election.rs
+++ b/src/core/steering/reader_election.rs
@@ -159,7 +159,8 @@
     /// that hear each other does, and any VM whose knowledge is too old.
     fn should_read(&self, kind: Kind, now: Time) -> bool {
         let Some(age) = self.sync.age(kind, now) else {
-            return now.since(self.started_at) >= self.first_read_delay(now);
+            let is_due = now.since(self.started_at) >= self.first_read_delay(now);
+            return is_due || self.may_be_small(kind);
         };
         if self.is_discovering(now) {
             return false;
@@ -204,6 +205,18 @@
         Millis(FLEET_CALL_INTERVAL.0 * self.peers.known() as u64)
     }
 
+    /// Returns whether a VM without state reads a kind at once, because the fleet
+    /// may be small. All VMs read the first page of backend servers. If there is
+    /// no other, the store can bear the rest from all of them, too, and a seed
+    /// that starts late holds nobody up.
+    fn may_be_small(&self, kind: Kind) -> bool {
+        let reader = &self.readers[Kind::BackendServers as usize];
+        match kind {
+            Kind::BackendServers => reader.was_answered() && reader.is_at_first_page(),
+            Kind::Configuration | Kind::Evacuations => self.sync.is_known(Kind::BackendServers),
+        }
+    }
+
     /// Returns how long after its start a VM without state reads the store if no
     /// other VM has given it a snapshot.
     fn first_read_delay(&self, now: Time) -> Millis {
--- a/src/core/steering/store_reader.rs
+++ b/src/core/steering/store_reader.rs
@@ -107,9 +107,7 @@
     /// already. A list after a history gap must be read.
     fn is_skippable(&self) -> bool {
         match self {
-            State::Listing {
-                after, allow_stale, ..
-            } => after.is_none() && *allow_stale,
+            State::Listing { allow_stale, .. } => *allow_stale,
             State::Confirming => false,
             State::Watching => true,
         }
@@ -174,6 +172,11 @@
         }
     }
 
+    /// Returns whether the next call reads the first page of a list.
+    pub fn is_at_first_page(&self) -> bool {
+        matches!(self.state, State::Listing { after: None, .. })
+    }
+
     /// Returns whether the last call was answered.
     pub fn was_answered(&self) -> bool {
         self.is_answered
--- a/tests/steering_start.rs
+++ b/tests/steering_start.rs
@@ -67,6 +67,22 @@
     assert!(calls <= bound, "{calls} calls");
 }
 
+/// Time by which a VM of a small fleet serves after its start, without a seed.
+const SMALL_START_BOUND: Millis = Millis(100);
+
+#[test]
+fn vms_of_a_small_fleet_do_not_wait_for_a_seed_that_starts_late() {
+    let mut sim = Simulation::start(&["a", "b", "c"]);
+    sim.configure(1, &[("web", 1)]);
+    sim.put_backend(&backend(1, "a"));
+    sim.set_seeds(&["10.9.9.9:7000".parse().expect("an address")]);
+    for vm in 0..3 {
+        sim.restart(vm);
+    }
+    sim.run(SMALL_START_BOUND);
+    assert!((0..3).all(|vm| sim.vm(vm).is_ready()));
+}
+
 /// Calls a second of the whole fleet to a store that does not answer: the hubs
 /// try every 0.6 s in the mean, the others together every 0.125 s.
 const MAX_CALLS_PER_SECOND: usize = 30;
