--- a/src/core/steering/directory.rs
+++ b/src/core/steering/directory.rs
@@ -140,7 +140,7 @@
     pub is_full: bool,
     /// Existing objects.
     pub objects: Vec<Object>,
-    /// Removed objects.
+    /// Removed objects; empty in a full list.
     pub removed: Vec<Object>,
 }
 
@@ -384,25 +384,23 @@
     }
 
     /// Exports the backend servers that changed after `since`, or all of them
-    /// if some of the changes are no longer known.
-    pub fn export(&self, since: Position, now: Time) -> Exported {
-        let is_full = since < self.compacted || since == Position::NONE;
+    /// if some of the changes are no longer known, or if the store was restored
+    /// before `as_of`, the position of this directory.
+    pub fn export(&self, since: Position, as_of: Position, now: Time) -> Exported {
+        let is_full = since < self.compacted || since.era < as_of.era || since == Position::NONE;
         let mut exported = Exported {
             is_full,
             ..Exported::default()
         };
         for entry in self.entries.values() {
-            let is_listed = match entry.presence {
-                Presence::Listed => true,
-                Presence::NotRestored { .. } => is_full,
-                Presence::Missing { .. } | Presence::Gone { .. } => false,
-            };
+            let is_listed = entry.presence == Presence::Listed;
             if !is_full && entry.position <= since {
                 continue;
             }
-            match is_listed {
-                true => exported.objects.push(entry.export(now)),
-                false => exported.removed.push(entry.export(now)),
+            if is_listed {
+                exported.objects.push(entry.export(now));
+            } else if !is_full {
+                exported.removed.push(entry.export(now));
             }
         }
         exported
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -47,9 +47,11 @@
 pub mod unlisted;
 
 mod exchange;
+mod first_read;
 mod flow_resets;
 mod probing;
 mod reader_election;
+mod snapshots;
 mod steer;
 mod sync_state;
 mod takeover;
--- a/src/core/steering/reader_election.rs
+++ b/src/core/steering/reader_election.rs
@@ -62,24 +62,6 @@
 /// they call.
 const NON_HUB_DELAY: Millis = Millis(500);
 
-/// One in this many VMs, besides the seeds, reads the store at its start. The
-/// others fetch a snapshot from these, so that the calls to the store do not
-/// grow with the VMs that start together.
-const EARLY_READERS: u64 = 48;
-
-/// Time within which a seed answers the first heartbeat of a VM, if it runs.
-const SEED_ANSWER_TIME: Millis = Millis(150);
-
-/// Time within which a VM that hears others should have got a snapshot from
-/// one of them.
-const FIRST_SNAPSHOT_TIME: Millis = Millis(900);
-
-/// Number of slots over which the first reads are spread after these times.
-const FIRST_READ_SLOTS: u64 = 16;
-
-/// Length of such a slot.
-const FIRST_READ_SLOT: Millis = Millis(25);
-
 /// Maximum backoff of the first-ranked VMs during a store outage.
 const RANKED_MAX_BACKOFF: Millis = Millis(800);
 
@@ -159,8 +141,7 @@
     /// that hear each other does, and any VM whose knowledge is too old.
     fn should_read(&self, kind: Kind, now: Time) -> bool {
         let Some(age) = self.sync.age(kind, now) else {
-            let is_due = now.since(self.started_at) >= self.first_read_delay(now);
-            return is_due || self.may_be_small(kind);
+            return self.is_first_read_due(kind, now);
         };
         if self.is_discovering(now) {
             return false;
@@ -205,32 +186,6 @@
         Millis(FLEET_CALL_INTERVAL.0 * self.peers.known() as u64)
     }
 
-    /// Returns whether a VM without state reads a kind at once, because the fleet
-    /// may be small. All VMs read the first page of backend servers. If there is
-    /// no other, the store can bear the rest from all of them, too, and a seed
-    /// that starts late holds nobody up.
-    fn may_be_small(&self, kind: Kind) -> bool {
-        let reader = &self.readers[Kind::BackendServers as usize];
-        match kind {
-            Kind::BackendServers => reader.was_answered() && reader.is_at_first_page(),
-            Kind::Configuration | Kind::Evacuations => self.sync.is_known(Kind::BackendServers),
-        }
-    }
-
-    /// Returns how long after its start a VM without state reads the store if no
-    /// other VM has given it a snapshot.
-    fn first_read_delay(&self, now: Time) -> Millis {
-        let hash = self.me.vm.hash64();
-        if self.peers.is_seed() || hash.is_multiple_of(EARLY_READERS) {
-            return Millis(0);
-        }
-        let slot = Millis(FIRST_READ_SLOT.0 * (hash % FIRST_READ_SLOTS));
-        if self.peers.live(now).next().is_some() {
-            return FIRST_SNAPSHOT_TIME + slot;
-        }
-        SEED_ANSWER_TIME + slot
-    }
-
     /// Returns how long this VM waits for other readers once its knowledge is
     /// too old. `None` for the first-ranked VM, which reads at once.
     fn reading_delay(&self, now: Time) -> Option<Millis> {
@@ -245,14 +200,6 @@
         }
     }
 
-    /// Returns whether this VM has just started beside others and does not know
-    /// most of them yet. The seeds, which all others know, read meanwhile.
-    fn is_discovering(&self, now: Time) -> bool {
-        let has_peers = self.peers.live(now).next().is_some();
-        let is_new = now.since(self.started_at) < FIRST_SNAPSHOT_TIME;
-        has_peers && is_new && !self.peers.is_seed()
-    }
-
     /// Returns the maximum backoff of this VM during a store outage.
     fn max_backoff(&self, now: Time) -> Millis {
         let is_ranked = self.peers.is_hub() && self.rank(now) < STAGGERED_RANKS;
--- /dev/null
+++ b/src/core/steering/snapshots.rs
@@ -0,0 +1,177 @@
+//! Snapshots of a VM's state for other VMs: serving, requesting and applying.
+
+use std::net::SocketAddrV4;
+
+use rand::seq::IteratorRandom;
+
+use super::{
+    Action,
+    Steering,
+    decision::Source,
+    directory::Exported,
+    exchange::TRANSIT_TIME,
+    peers::{
+        Heartbeat,
+        KindQuery,
+        Referral,
+        Snapshot,
+        SnapshotAnswer,
+        SnapshotPart,
+        SnapshotRequest, //
+    },
+    store::{
+        Change,
+        Kind,
+        Object,
+        Position,
+        Value, //
+    },
+    store_reader::Update, //
+};
+use crate::kernel::clock::Time;
+
+/// Number of VMs to which a requester is referred.
+const MAX_REFERRALS: usize = 3;
+
+impl Steering {
+    /// Admits a snapshot request. Returns VMs to ask instead if too many full
+    /// snapshots are being served. Each admitted request must end with
+    /// [`Steering::end_snapshot`].
+    pub fn admit_snapshot(&mut self, request: &SnapshotRequest, now: Time) -> Result<(), Referral> {
+        if !request.is_full() || self.admission.admit() {
+            return Ok(());
+        }
+        Err(Referral {
+            holders: self.snapshot_holders(request.requester, now),
+            contacts: self.peers.start_contacts(now, &mut self.rng),
+        })
+    }
+
+    /// Ends an admitted snapshot request. `was_sent` tells whether the requester
+    /// got the snapshot.
+    pub fn end_snapshot(&mut self, request: &SnapshotRequest, was_sent: bool) {
+        if request.is_full() {
+            let has_all = was_sent && self.is_synced();
+            self.admission.finish(has_all.then_some(request.requester));
+        }
+    }
+
+    /// Returns a few VMs that should have a full snapshot.
+    fn snapshot_holders(&mut self, requester: SocketAddrV4, now: Time) -> Vec<SocketAddrV4> {
+        let is_synced = |h: &Heartbeat| h.kind_reports.iter().all(|r| r.position > Position::NONE);
+        let live = self.peers.live(now).map(|m| &m.heartbeat);
+        let synced = live
+            .filter(|h| is_synced(h) && !h.is_stopping)
+            .map(|h| h.address);
+        let holders = synced.chain(self.admission.holders());
+        let others = holders.filter(|at| *at != requester);
+        let mut sample = [requester; MAX_REFERRALS];
+        let found = others.choose_multiple_fill(&mut self.rng, &mut sample);
+        sample[..found].to_vec()
+    }
+
+    /// Answers a snapshot request.
+    pub fn snapshot(&mut self, request: &SnapshotRequest, now: Time) -> Snapshot {
+        // A VM without state may not know its peers either.
+        let contacts = match request.is_full() {
+            true => self.peers.start_contacts(now, &mut self.rng),
+            false => Vec::new(),
+        };
+        let known = request
+            .queries
+            .iter()
+            .filter(|w| self.sync.is_known(w.kind));
+        Snapshot {
+            parts: known.map(|query| self.snapshot_part(query, now)).collect(),
+            contacts,
+        }
+    }
+
+    fn export_backends(&self, since: Position, now: Time) -> Exported {
+        let as_of = self.sync.get(Kind::BackendServers).position;
+        self.directory.export(since, as_of, now)
+    }
+
+    /// Processes the answer of another VM to a snapshot request. `made_at` is
+    /// when the other VM made it.
+    pub fn on_snapshot_answer(&mut self, answer: SnapshotAnswer, made_at: Time, now: Time) {
+        match answer {
+            SnapshotAnswer::Snapshot(snapshot) => self.on_snapshot(snapshot, made_at, now),
+            SnapshotAnswer::Referral(referral) => self.follow_referral(&referral, now),
+        }
+    }
+
+    /// Requests the kinds that are still unknown from one of the VMs named.
+    fn follow_referral(&mut self, referral: &Referral, now: Time) {
+        for contact in &referral.contacts {
+            self.peers.add_contact(contact, now);
+        }
+        let unknown = Kind::ALL
+            .into_iter()
+            .filter(|kind| !self.sync.is_known(*kind));
+        let queries: Vec<KindQuery> = unknown.map(KindQuery::full).collect();
+        let Some(from) = referral.holders.iter().copied().choose(&mut self.rng) else {
+            return;
+        };
+        if queries.is_empty() {
+            return;
+        }
+        for query in &queries {
+            self.requested_at[query.kind as usize] = Some(now);
+        }
+        self.actions.push(Action::RequestSnapshot { from, queries });
+    }
+
+    fn snapshot_part(&self, query: &KindQuery, now: Time) -> SnapshotPart {
+        let exported = match query.kind {
+            Kind::Configuration => Exported::full(vec![Object {
+                name: String::new(),
+                position: self.routing.position(),
+                value: Some(Value::Configuration(self.routing.configuration().clone())),
+            }]),
+            Kind::BackendServers => self.export_backends(query.since, now),
+            Kind::Evacuations => Exported::full(self.directory.evacuations.export()),
+        };
+        SnapshotPart {
+            kind: query.kind,
+            report: self.sync.kind_report(query.kind, now),
+            is_full: exported.is_full,
+            objects: exported.objects,
+            removed: exported.removed,
+        }
+    }
+
+    /// Processes a snapshot that another VM made at `made_at`.
+    fn on_snapshot(&mut self, snapshot: Snapshot, made_at: Time, now: Time) {
+        for contact in &snapshot.contacts {
+            self.peers.add_contact(contact, now);
+        }
+        for part in snapshot.parts {
+            self.requested_at[part.kind as usize] = None;
+            let (kind, report) = (part.kind, part.report);
+            if report.position <= self.sync.get(kind).position {
+                continue;
+            }
+            let as_of = made_at - report.age - TRANSIT_TIME;
+            let update = into_update(part);
+            self.apply(kind, update, report.position, as_of, Source::Peer, now);
+            self.sync.set_changed(kind, report.changed);
+        }
+    }
+}
+
+/// Converts a part of a snapshot into an update.
+fn into_update(part: SnapshotPart) -> Update {
+    if part.is_full {
+        return Update::All(part.objects);
+    }
+    let change = |removed: bool| move |object: Object| Change { object, removed };
+    let gone = part.removed.into_iter().map(change(true));
+    Update::Changes(
+        part.objects
+            .into_iter()
+            .map(change(false))
+            .chain(gone)
+            .collect(),
+    )
+}
--- a/tests/steering_restores.rs
+++ b/tests/steering_restores.rs
@@ -329,6 +329,24 @@
     assert!(!is_used(&mut sim, tag));
 }
 
+#[test]
+fn what_only_one_vm_knew_before_a_restore_ends_there_too() {
+    let mut sim = start_sim();
+    let copy = sim.store.copy();
+    // Only the last VM reads that there is another backend server.
+    sim.partitions = (0..5).map(|vm| (vm, 5)).collect();
+    sim.without_store = (0..5).collect();
+    let tag = sim.put_backend(&server(20));
+    sim.run(Millis(4_000));
+    assert!(used(&mut sim, 5, 1_000).contains(&tag));
+    sim.without_store = [5].into();
+    sim.store.restore(copy);
+    sim.run(Millis(500));
+    sim.partitions.clear();
+    sim.run(Millis(6_000));
+    assert!(!is_used(&mut sim, tag));
+}
+
 #[test]
 fn a_fleet_that_restarts_during_a_restore_learns_the_state() {
     let mut sim = start_sim();
