--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -32,7 +32,6 @@
                 Verdict, //
             },
             peers::{
-                Contact,
                 KindQuery,
                 PeerMessage,
                 SnapshotAnswer,
@@ -40,13 +39,9 @@
             },
             store::{
                 BackendServer,
-                Change,
                 Configuration,
-                Era,
                 Kind,
-                Object,
                 Position,
-                Revision,
                 Route,
                 Service,
                 Share,
@@ -67,6 +62,13 @@
     },
 };
 
+pub use self::store::{
+    FakeStore,
+    StoreContent, //
+};
+
+mod store;
+
 /// Simulated time per step.
 const STEP: Millis = Millis(5);
 
@@ -79,138 +81,6 @@
 /// Time that a VM takes to serve a snapshot.
 const SNAPSHOT_DURATION: Millis = Millis(20);
 
-/// Number of objects on one page of a list.
-const PAGE_SIZE: usize = 3;
-
-/// An in-memory store.
-#[derive(Debug, Default)]
-pub struct FakeStore {
-    /// Number of restores.
-    era: u64,
-    content: StoreContent,
-}
-
-/// Everything that a restore from a copy brings back.
-#[derive(Clone, Debug, Default)]
-pub struct StoreContent {
-    revision: u64,
-    objects: BTreeMap<(Kind, String), Object>,
-    history: Vec<(u64, Kind, Change)>,
-    /// Changes up to this revision were compacted.
-    forgotten: u64,
-    /// Registered contacts.
-    contacts: Vec<Contact>,
-}
-
-impl FakeStore {
-    fn position(&self) -> Position {
-        Position::new(Era(self.era), Revision(self.content.revision))
-    }
-
-    /// Copies the content, for a later restore.
-    pub fn copy(&self) -> StoreContent {
-        self.content.clone()
-    }
-
-    /// Restores the content from a copy, which begins a new era.
-    pub fn restore(&mut self, copy: StoreContent) {
-        self.content = copy;
-        self.era += 1;
-        let era = Era(self.era);
-        for object in self.content.objects.values_mut() {
-            object.position.era = era;
-        }
-        for (_, _, change) in &mut self.content.history {
-            change.object.position.era = era;
-        }
-    }
-
-    /// Returns whether the store does not have a revision yet.
-    fn is_ahead(&self, since: Position) -> bool {
-        since.revision.0 > self.content.revision
-    }
-
-    /// Writes an object and returns its revision.
-    pub fn put(&mut self, kind: Kind, name: &str, value: Option<Value>) -> Position {
-        self.content.revision += 1;
-        let object = Object {
-            name: name.to_owned(),
-            position: self.position(),
-            value,
-        };
-        self.content
-            .objects
-            .insert((kind, name.to_owned()), object.clone());
-        self.record(kind, object, false);
-        self.position()
-    }
-
-    /// Removes an object.
-    pub fn remove(&mut self, kind: Kind, name: &str) {
-        if let Some(mut object) = self.content.objects.remove(&(kind, name.to_owned())) {
-            self.content.revision += 1;
-            object.position = self.position();
-            self.record(kind, object, true);
-        }
-    }
-
-    /// Compacts the history, as a store may do at any time.
-    pub fn compact(&mut self) {
-        self.content.forgotten = self.content.revision;
-        self.content.history.clear();
-    }
-
-    fn record(&mut self, kind: Kind, object: Object, removed: bool) {
-        let change = Change { object, removed };
-        self.content
-            .history
-            .push((self.content.revision, kind, change));
-    }
-
-    /// Answers a call, or returns `None` if a watch has to wait.
-    fn answer(&self, call: &StoreCall) -> Option<StoreAnswer> {
-        let position = self.position();
-        match call {
-            StoreCall::List { kind, after, .. } => Some(self.page(*kind, after.as_deref())),
-            StoreCall::Watch { since, .. } if self.is_ahead(*since) => {
-                Some(StoreAnswer::HistoryGone)
-            }
-            StoreCall::Watch { since, .. } if since.revision.0 < self.content.forgotten => {
-                Some(StoreAnswer::HistoryGone)
-            }
-            StoreCall::Watch { kind, since, .. } => {
-                let changes: Vec<Change> = self
-                    .content
-                    .history
-                    .iter()
-                    .filter(|(changed_at, k, _)| *changed_at > since.revision.0 && k == kind)
-                    .map(|(_, _, change)| change.clone())
-                    .collect();
-                (!changes.is_empty()).then_some(StoreAnswer::Changes { changes, position })
-            }
-            StoreCall::Lookup => Some(StoreAnswer::Contacts(self.content.contacts.clone())),
-            StoreCall::Register { .. } => Some(StoreAnswer::Registered),
-        }
-    }
-
-    fn page(&self, kind: Kind, after: Option<&str>) -> StoreAnswer {
-        let all = self
-            .content
-            .objects
-            .iter()
-            .filter(|((k, name), _)| *k == kind && after.is_none_or(|a| name.as_str() > a))
-            .map(|(_, object)| object.clone());
-        let mut objects: Vec<Object> = all.collect();
-        let more = objects.len() > PAGE_SIZE;
-        objects.truncate(PAGE_SIZE);
-        StoreAnswer::Page {
-            objects,
-            more,
-            position: self.position(),
-        }
-    }
-}
-
 struct PendingCall {
     call: StoreCall,
     sent: Time,
@@ -399,7 +269,7 @@
             let (call, sent) = (call.clone(), *sent);
             if let Some(answer) = answer {
                 machine.pending_calls.remove(&kind);
-                let era = answer.is_answered().then_some(Era(self.store.era));
+                let era = answer.is_answered().then_some(self.store.era());
                 machine.steering.on_answer(&call, answer, era, sent, now);
             }
             return;
@@ -427,7 +297,7 @@
         };
         self.calls += 1;
         if let StoreCall::Register { contact, .. } = &call {
-            self.store.content.contacts.push(contact.clone());
+            self.store.register(contact);
         }
         if let Some(answer) = self.store.answer(&call) {
             self.vm(vm).on_registration(answer, now);
