--- a/src/edge/steering/entry_vm.rs
+++ b/src/edge/steering/entry_vm.rs
@@ -37,7 +37,10 @@
         names::Incarnation,
         notice::Notice,
         steering::{
-            Action, Identity, Steering, TICK,
+            Action,
+            Identity,
+            Steering,
+            TICK, //
             readiness::ROUTER_NOTICE_TIME,
             store::{
                 Era,
--- a/src/edge/steering/snapshots.rs
+++ b/src/edge/steering/snapshots.rs
@@ -68,7 +68,7 @@
     body: Bytes,
 }
 
-/// Snapshots encoded within the last [`REUSE_TIME`], so that many requesters
+/// Snapshots encoded within the last `REUSE_TIME`, so that many requesters
 /// share one copy.
 #[derive(Debug, Default)]
 pub struct EncodedSnapshots {
