--- a/tests/steering_start.rs
+++ b/tests/steering_start.rs
@@ -109,6 +109,22 @@
     }
 }
 
+#[test]
+fn a_store_that_answers_one_hub_again_is_noticed_soon() {
+    const HUB: usize = 9;
+    let mut sim = start_sim();
+    sim.run(Millis(4_000));
+    sim.without_store = (0..VMS).collect();
+    sim.store_refuses = true;
+    sim.run(Millis(20_000));
+    sim.without_store.remove(&HUB);
+    sim.configure(2, &[("web", 1)]);
+    sim.run(Millis(8_000));
+    let now = sim.now;
+    let behind = (0..VMS).filter(|vm| sim.vm(*vm).stats(now).version != 2);
+    assert_eq!(behind.count(), 0);
+}
+
 #[test]
 fn a_change_reaches_a_fleet_whose_hubs_the_store_turns_away() {
     let mut sim = start_sim();
