Define the ordered numbers of the core in one place

Change: number_type! in core/names.rs defines all four. Result: the same derives and wire form; clippy, steering_restores, steering_knowledge and membership_failures pass.

--- a/src/core/names.rs
+++ b/src/core/names.rs
@@ -40,6 +40,19 @@
     };
 }
 
+/// Defines an ordered number that must not be confused with others.
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+            Deserialize,
+        )]
+        pub struct $name(pub u64);
+    };
+}
+pub(crate) use number_type;
+
 name_type! {
     /// The name of an entry VM.
     VmId
@@ -65,41 +78,17 @@
     PlanId
 }
 
-/// Distinguishes successive runs of the process at one address.
-///
-/// Invariant: a later run of the same VM has a greater number.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-    Deserialize,
-)]
-pub struct Incarnation(pub u64);
+number_type! {
+    /// Distinguishes successive runs of the process at one address.
+    ///
+    /// Invariant: a later run of the same VM has a greater number.
+    Incarnation
+}
 
-/// The version number of a configuration.
-///
-/// Invariant: strictly increasing; a lower generation is never applied over a
-/// higher one, whatever its source.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-    Deserialize,
-)]
-pub struct Generation(pub u64);
+number_type! {
+    /// The version number of a configuration.
+    ///
+    /// Invariant: strictly increasing; a lower generation is never applied over a
+    /// higher one, whatever its source.
+    Generation
+}
--- a/src/core/steering/position.rs
+++ b/src/core/steering/position.rs
@@ -10,40 +10,18 @@
     Serialize, //
 };
 
-/// Number of restores of the store.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-    Deserialize,
-)]
-pub struct Era(pub u64);
+use crate::core::names::number_type;
 
-/// Number of a change of the store. A single counter covers all objects. Unique
-/// within an era only.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-    Deserialize,
-)]
-pub struct Revision(pub u64);
+number_type! {
+    /// Number of restores of the store.
+    Era
+}
+
+number_type! {
+    /// Number of a change of the store. A single counter covers all objects. Unique
+    /// within an era only.
+    Revision
+}
 
 /// A point in the history of the store.
 #[derive(
