Split the entry of a backend server from the directory

Change: directory_entry.rs holds the state of one backend server and its rules for restored stores; the grace time stands beside the positions that it belongs to. No change of behaviour.

--- a/src/core/steering/directory.rs
+++ b/src/core/steering/directory.rs
@@ -1,10 +1,12 @@
 //! Known backend servers and their fitness for new flows.
 
-use std::cmp::Ordering;
-
 use hashbrown::HashMap;
 
 use super::{
+    directory_entry::{
+        Entry,
+        Presence, //
+    },
     evacuations::Evacuations,
     store::{
         BackendServer,
@@ -23,75 +25,13 @@
     },
 };
 
-/// Extends a cold start to cover the delay between a backend server's write to
-/// the store and this VM's read.
-const COLD_MARGIN: Millis = Millis(400);
-
 /// Time that a backend server whose object vanished during a store outage has
 /// to write it again after the store's return.
 pub const REREGISTER_TIME: Millis = Millis(2_500);
 
-/// Time that operators and backend servers have after a restore of the store to
-/// write again what it lost.
-pub const RESTORE_GRACE: Millis = Millis::from_secs(10);
-
 /// How long the tag of a removed backend server is remembered.
 const GONE_RETENTION: Millis = Millis::from_secs(120);
 
-/// Whether the store lists a backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Presence {
-    /// The store lists it.
-    Listed,
-    /// The store does not list it, possibly because of an outage.
-    Missing {
-        /// When it counts as gone.
-        gone_at: Time,
-    },
-    /// The copy that the store was restored from does not list it. It has had no
-    /// time to write itself again.
-    NotRestored {
-        /// When it counts as gone.
-        gone_at: Time,
-    },
-    /// It has left or died.
-    Gone {
-        /// When it was found to be gone.
-        since: Time,
-    },
-}
-
-/// A backend server and the state derived from its object.
-#[derive(Debug)]
-pub struct Entry {
-    /// Last object of the backend server.
-    pub server: BackendServer,
-    /// Whether the store lists it.
-    pub presence: Presence,
-    /// End of its cold start.
-    pub cold_until: Time,
-    /// State in the copy that the store was restored from, if it contradicts
-    /// what was known before.
-    doubted: Option<Doubted>,
-    name: String,
-    position: Position,
-}
-
-impl Entry {
-    /// Returns whether it may still hold flows.
-    pub fn may_hold_flows(&self) -> bool {
-        !matches!(self.presence, Presence::Gone { .. })
-    }
-}
-
-/// State of a backend server in a copy that the store was restored from.
-#[derive(Debug)]
-struct Doubted {
-    server: BackendServer,
-    /// When it takes effect unless the backend server writes itself again.
-    until: Time,
-}
-
 /// Fitness of a backend server for new flows, in order of preference.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Fitness {
@@ -268,11 +208,7 @@
                 }
             }
             Some(entry) if entry.contradicts(server, object.position) => {
-                entry.position = object.position;
-                entry.doubted = Some(Doubted {
-                    server: server.clone(),
-                    until: now + RESTORE_GRACE,
-                });
+                entry.doubt(server, object.position, now);
                 self.doubted += 1;
             }
             Some(entry) => {
@@ -302,14 +238,7 @@
     }
 
     fn insert(&mut self, tag: Tag, server: &BackendServer, object: &Object, now: Time) {
-        let entry = Entry {
-            server: server.clone(),
-            presence: Presence::Listed,
-            cold_until: cold_until(server, now),
-            doubted: None,
-            name: object.name.clone(),
-            position: object.position,
-        };
+        let entry = Entry::open(server, object, now);
         self.entries.insert(tag, entry);
         self.tags.insert(object.name.clone(), tag);
         let pool = self.pools.entry(server.service.clone()).or_default();
@@ -406,67 +335,3 @@
         exported
     }
 }
-
-impl Entry {
-    /// Returns whether the copy that the store was restored from would use the
-    /// backend server although it is known to drain, to have left or to have
-    /// started again since.
-    fn contradicts(&self, server: &BackendServer, position: Position) -> bool {
-        if position.era <= self.position.era {
-            return false;
-        }
-        let was_draining = self.server.draining && !server.draining;
-        match server.started_unix_ms.cmp(&self.server.started_unix_ms) {
-            Ordering::Less => true,
-            Ordering::Equal => was_draining || !self.may_hold_flows(),
-            Ordering::Greater => false,
-        }
-    }
-
-    /// Applies a doubted state that was not written again in time.
-    fn settle_doubt(&mut self, now: Time) {
-        let Some(doubted) = self.doubted.take_if(|d| now >= d.until) else {
-            return;
-        };
-        let position = self.position;
-        self.update(&doubted.server, position, now);
-    }
-
-    fn mark_not_restored(&mut self, position: Position, gone_at: Time) {
-        self.position = position;
-        if matches!(self.presence, Presence::Listed | Presence::Missing { .. }) {
-            self.presence = Presence::NotRestored { gone_at };
-        }
-    }
-
-    fn update(&mut self, server: &BackendServer, position: Position, now: Time) {
-        self.doubted = None;
-        let reported = cold_until(server, now);
-        let is_same_run = server.started_unix_ms == self.server.started_unix_ms;
-        // The copy that a store was restored from may repeat an old state.
-        self.cold_until = match position.era > self.position.era && is_same_run {
-            true => self.cold_until.max(reported),
-            false => reported,
-        };
-        self.server = server.clone();
-        self.presence = Presence::Listed;
-        self.position = position;
-    }
-
-    fn export(&self, now: Time) -> Object {
-        let mut server = self.server.clone();
-        server.cold_for = self.cold_until.since(now);
-        Object {
-            name: self.name.clone(),
-            position: self.position,
-            value: Some(Value::BackendServer(server)),
-        }
-    }
-}
-
-fn cold_until(server: &BackendServer, now: Time) -> Time {
-    if server.cold_for == Millis(0) {
-        return now;
-    }
-    now + server.cold_for + COLD_MARGIN
-}
--- a/src/core/steering/evacuations.rs
+++ b/src/core/steering/evacuations.rs
@@ -3,7 +3,7 @@
 use hashbrown::HashMap;
 
 use super::{
-    directory::RESTORE_GRACE,
+    position::RESTORE_GRACE,
     store::{
         Change,
         Object,
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -19,6 +19,7 @@
 pub mod cold;
 pub mod decision;
 pub mod directory;
+pub mod directory_entry;
 pub mod evacuations;
 pub mod evidence;
 pub mod failure_detector;
--- a/src/core/steering/placement.rs
+++ b/src/core/steering/placement.rs
@@ -21,9 +21,9 @@
     },
     directory::{
         Directory,
-        Entry,
         Fitness, //
     },
+    directory_entry::Entry,
     failure_detector::{
         FailureDetector,
         HealthState, //
--- a/src/core/steering/position.rs
+++ b/src/core/steering/position.rs
@@ -10,7 +10,14 @@
     Serialize, //
 };
 
-use crate::core::names::number_type;
+use crate::{
+    core::names::number_type,
+    kernel::clock::Millis, //
+};
+
+/// Time that operators and backend servers have after a restore of the store to
+/// write again what it lost.
+pub const RESTORE_GRACE: Millis = Millis::from_secs(10);
 
 number_type! {
     /// Number of restores of the store.
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -6,9 +6,9 @@
     Steering,
     decision::Decision,
     directory::{
-        Entry,
         Fitness, //
     },
+    directory_entry::Entry,
     failure_detector::HealthState,
     flow::BackendSignal,
     packet::{
--- a/tests/steering_restores.rs
+++ b/tests/steering_restores.rs
@@ -6,11 +6,11 @@
         names::DataCentreId,
         steering::{
             decision::Decision,
-            directory::RESTORE_GRACE,
             packet::{
                 ResetReason,
                 Verdict, //
             },
+            position::RESTORE_GRACE,
             store::{
                 BackendServer,
                 Kind,
