Split the known peer and its heartbeat intervals from the members

Change: known_peer.rs holds one known peer, when it gets heartbeats and whether it may answer. No change of behaviour.

--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -22,9 +22,16 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::peers::{
-    Contact,
-    Heartbeat, //
+use super::{
+    known_peer::{
+        HEARTBEAT_INTERVAL,
+        KnownPeer,
+        LOST_AFTER, //
+    },
+    peers::{
+        Contact,
+        Heartbeat, //
+    },
 };
 use crate::{
     core::names::{
@@ -37,25 +44,6 @@
     },
 };
 
-/// Interval between two heartbeats.
-pub const HEARTBEAT_INTERVAL: Millis = Millis(250);
-
-/// Interval between the first two heartbeats to a seed that was never heard. It
-/// may start a little later than this VM. Doubles with each retry.
-const FIRST_RETRY_INTERVAL: Millis = Millis(25);
-
-/// Number of such retries.
-const FIRST_RETRIES: u32 = 3;
-
-/// A peer that was not heard for this long counts as lost.
-pub const LOST_AFTER: Millis = Millis(800);
-
-/// Heartbeat interval for a peer that does not answer.
-const SILENT_INTERVAL: Millis = Millis(1_000);
-
-/// How long an unresponsive peer is not selected as a hub.
-const AVOID_TIME: Millis = Millis::from_secs(3);
-
 /// A peer that was not heard for this long is removed.
 const FORGET_AFTER: Millis = Millis::from_secs(300);
 
@@ -87,23 +75,6 @@
     pub heard: Time,
 }
 
-/// A known address of a peer.
-#[derive(Clone, Debug)]
-struct KnownPeer {
-    /// `None` for a seed that was never heard.
-    contact: Option<Contact>,
-    /// When the peer was last heard, or first learned of.
-    heard: Time,
-    /// Since when heartbeats to it are unanswered.
-    silent_since: Option<Time>,
-    /// Whether it requested heartbeats.
-    wants_heartbeats: bool,
-    /// When the next heartbeat is due, if it gets any.
-    next: Time,
-    /// Heartbeats sent to it before it was first heard.
-    unanswered: u32,
-}
-
 /// Peers of this VM.
 #[derive(Debug)]
 pub struct Members {
@@ -159,14 +130,7 @@
         if self.known.len() >= MAX_PEERS {
             return;
         }
-        let known = KnownPeer {
-            contact: contact.cloned(),
-            heard: now,
-            silent_since: None,
-            wants_heartbeats: false,
-            next: now,
-            unanswered: 0,
-        };
+        let known = KnownPeer::open(contact, now);
         self.known.insert(address, known);
         self.next_selection = now;
     }
@@ -378,30 +342,3 @@
 fn hub_order(contact: &Contact) -> (Reverse<u32>, VmId) {
     (Reverse(contact.millicores), contact.vm.clone())
 }
-
-impl KnownPeer {
-    fn is_live(&self, now: Time) -> bool {
-        now.since(self.heard) < LOST_AFTER
-    }
-
-    fn heartbeat_interval(&self, now: Time) -> Millis {
-        if self.contact.is_none() && self.unanswered < FIRST_RETRIES {
-            return Millis(FIRST_RETRY_INTERVAL.0 << self.unanswered);
-        }
-        let is_silent = |since: Time| now.since(since) >= LOST_AFTER;
-        if self.silent_since.is_some_and(is_silent) {
-            return SILENT_INTERVAL;
-        }
-        HEARTBEAT_INTERVAL
-    }
-
-    /// Returns whether it is not in the avoidance period after failing to
-    /// answer.
-    fn may_answer(&self, now: Time) -> bool {
-        let Some(since) = self.silent_since else {
-            return true;
-        };
-        let silent_for = now.since(since);
-        silent_for < LOST_AFTER || silent_for >= LOST_AFTER + AVOID_TIME
-    }
-}
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -50,6 +50,7 @@
 mod exchange;
 mod first_read;
 mod flow_resets;
+mod known_peer;
 mod probing;
 mod reader_election;
 mod snapshots;
@@ -71,11 +72,9 @@
 use flows::FlowTable;
 use handshakes::Handshakes;
 pub use identity::Identity;
+use known_peer::HEARTBEAT_INTERVAL;
 use loads::RemoteLoads;
-use members::{
-    HEARTBEAT_INTERVAL,
-    Members, //
-};
+use members::Members;
 use peers::Contact;
 use readiness::Readiness;
 use registration::{
