Spread cold backend servers over all VMs of their data centre by grants

Cause (read in placement.rs, then played): only hubs could be the one VM that sends flows to a cold backend server, so in a fleet of 60 VMs two of the 20 of a data centre served its clients while its backend servers were cold (2 of 150 flows in the new test). And any peer missing anywhere lowered the limit to one flow in 1.25 s, so a small data centre behind a cut got a third of what its backend servers bear (12 of 80).

Now the first hub of the backend server's own data centre assigns each cold backend server to one VM there and renews the grant with each heartbeat (0.5 s). VMs of other data centres get none, so what they cannot hear is not in the sum. A granter that misses VMs of its data centre which may be granters, or has been alone for less than 1.75 s, grants the low limit.

Ruled out: rendezvous hashing for the assignment, which leaves 13 % of the VMs without any (76 of 150 with unopened flows besides).

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -61,6 +61,7 @@
         self.record_doubts();
         self.sync.advance(kind, position, has_changes, as_of);
         if has_changes {
+            self.assign_cold(now);
             self.peers.send_soon(now);
             self.send_heartbeats(now);
             self.decisions.push(Decision::StoreUpdateApplied {
@@ -147,6 +148,7 @@
             loads: self.flows.loads().map(load).collect(),
             dead: self.detector.dead().collect(),
             takeovers: self.takeovers.export(),
+            cold_grants: self.cold_grants_for(to, now),
             contacts: self.peers.sample_contacts(now, &mut self.rng),
         }
     }
@@ -168,6 +170,9 @@
         for data_centre in &heartbeat.takeovers {
             self.record_takeover(data_centre, false, now);
         }
+        if let Some(grants) = heartbeat.cold_grants.clone().filter(|_| is_local) {
+            self.cold_grants.replace(grants, now);
+        }
         self.replicas.mark_heard(heartbeat.address, now);
         let (from, loads) = (heartbeat.address, heartbeat.loads.clone());
         let kinds = self.compare(&heartbeat.kind_reports, now);
--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -8,7 +8,10 @@
 
 use std::{
     cmp::Reverse,
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddrV4, //
 };
 
@@ -167,12 +170,59 @@
         self.is_seed
     }
 
-    /// Returns whether all neighbours are heard, except those that were silent
-    /// for longer than `MISSING_FOR`.
-    pub fn is_complete(&self, now: Time) -> bool {
+    /// Returns whether all other VMs of this data centre that may be hubs are
+    /// heard: selected ones, and those that rank before this VM. Those that were
+    /// silent for longer than [`MISSING_FOR`] do not count. A peer of unknown
+    /// data centre counts as one of this data centre.
+    pub fn hears_local_hubs(&self, now: Time) -> bool {
         let is_missing = |k: &KnownPeer| !k.is_live(now) && now.since(k.heard) < MISSING_FOR;
-        let mut neighbours = self.neighbours.iter().filter_map(|a| self.known.get(a));
-        !neighbours.any(is_missing)
+        let mut missing = self.known.iter().filter(|(_, k)| is_missing(k));
+        !missing.any(|(address, k)| self.may_be_local_hub(*address, k.contact.as_ref()))
+    }
+
+    fn may_be_local_hub(&self, address: SocketAddrV4, contact: Option<&Contact>) -> bool {
+        let Some(contact) = contact else {
+            return true;
+        };
+        let is_first = hub_order(contact) < hub_order(&self.me);
+        contact.data_centre == self.me.data_centre && (is_first || self.is_neighbour(address))
+    }
+
+    /// Iterates over the live peers in this data centre.
+    pub fn live_local(&self, now: Time) -> impl Iterator<Item = &Member> {
+        self.live(now)
+            .filter(|m| m.heartbeat.data_centre == self.me.data_centre)
+    }
+
+    /// Returns whether this VM is the first hub of its data centre that is
+    /// heard. In a large fleet, a VM that hears none of its data centre is not:
+    /// it is more likely cut off than alone.
+    pub fn is_first_hub(&self, now: Time) -> bool {
+        let order = hub_order(&self.me);
+        let mut local = self
+            .live_local(now)
+            .map(|m| m.heartbeat.contact())
+            .peekable();
+        let is_alone = local.peek().is_none() && self.knows_local_peers();
+        let may_lead = self.is_hub && !(is_alone && self.known.len() > MAX_FULL_MESH);
+        may_lead && local.all(|c| hub_order(&c) > order)
+    }
+
+    fn knows_local_peers(&self) -> bool {
+        let mut contacts = self.known.values().filter_map(|k| k.contact.as_ref());
+        contacts.any(|c| c.data_centre == self.me.data_centre)
+    }
+
+    /// Returns the data centres with known VMs.
+    pub fn data_centres(&self) -> BTreeSet<&DataCentreId> {
+        let contacts = self.known.values().filter_map(|k| k.contact.as_ref());
+        contacts.chain([&self.me]).map(|c| &c.data_centre).collect()
+    }
+
+    /// Returns whether a peer is in this data centre.
+    pub fn is_local(&self, address: SocketAddrV4) -> bool {
+        let contact = self.known.get(&address).and_then(|k| k.contact.as_ref());
+        contact.is_some_and(|c| c.data_centre == self.me.data_centre)
     }
 
     /// Returns a random sample of contacts of live peers.
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -17,6 +17,7 @@
 
 pub mod action;
 pub mod cold;
+pub mod cold_grants;
 pub mod decision;
 pub mod directory;
 pub mod directory_entry;
@@ -60,6 +61,10 @@
 
 pub use action::Action;
 use cold::ColdBudget;
+use cold_grants::{
+    ColdAssignments,
+    HeldGrants, //
+};
 use decision::Decision;
 use directory::{
     Directory,
@@ -119,6 +124,8 @@
     flows: FlowTable,
     detector: FailureDetector,
     cold_budget: ColdBudget,
+    cold_assignments: ColdAssignments,
+    cold_grants: HeldGrants,
     response_times: ResponseTimes,
     handshakes: Handshakes,
     unlisted: UnlistedTags,
@@ -170,6 +177,8 @@
             flows: FlowTable::default(),
             detector: FailureDetector::default(),
             cold_budget: ColdBudget::default(),
+            cold_assignments: ColdAssignments::default(),
+            cold_grants: HeldGrants::default(),
             response_times: ResponseTimes::default(),
             handshakes: Handshakes::default(),
             unlisted: UnlistedTags::default(),
@@ -245,6 +254,9 @@
         self.reset_lost_flows(now);
         self.update_readiness(now);
         self.replicate(now);
+        if self.cold_assignments.is_due(now) {
+            self.assign_cold(now);
+        }
         self.send_heartbeats(now);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -8,6 +8,7 @@
 };
 
 use super::{
+    cold_grants::ColdGrants,
     packet::FlowId,
     store::{
         Kind,
@@ -113,6 +114,9 @@
     pub dead: Vec<Tag>,
     /// Data centres whose clients the routers send to the sender.
     pub takeovers: Vec<DataCentreId>,
+    /// Backend servers in cold start to which the recipient may send new flows.
+    /// `None` unless the sender is the granter of the recipient's data centre.
+    pub cold_grants: Option<ColdGrants>,
     /// Some of the VMs that the sender hears.
     pub contacts: Vec<Contact>,
 }
--- a/src/core/steering/placement.rs
+++ b/src/core/steering/placement.rs
@@ -15,10 +15,10 @@
 use super::{
     Identity,
     cold::{
-        self,
         ColdBudget,
         DISCOVERY_TIME, //
     },
+    cold_grants::HeldGrants,
     directory::{
         Directory,
         Fitness, //
@@ -31,7 +31,6 @@
     flows::FlowTable,
     handshakes::Handshakes,
     loads::RemoteLoads,
-    members::Members,
     response_times::ResponseTimes,
     routing::Routing,
     tag::Tag,
@@ -53,8 +52,6 @@
     pub me: &'a Identity,
     /// When this VM started.
     pub started_at: Time,
-    /// Peers of this VM.
-    pub peers: &'a Members,
     /// Routes and services.
     pub routing: &'a Routing,
     /// Backend servers.
@@ -69,6 +66,8 @@
     pub handshakes: &'a Handshakes,
     /// New flows sent to backend servers in cold start.
     pub cold_budget: &'a ColdBudget,
+    /// Backend servers in cold start to which this VM may send flows.
+    pub cold_grants: &'a HeldGrants,
     /// Health of the backend servers.
     pub detector: &'a FailureDetector,
     /// Current time.
@@ -145,23 +144,18 @@
     }
 
     /// Returns whether this VM may send a flow to a backend server in cold
-    /// start. Only a hub that has discovered its peers can tell which VM is
-    /// designated.
+    /// start.
     fn may_send_cold(&self, tag: Tag, service: &ServiceId) -> bool {
-        let has_discovered = self.now.since(self.started_at) >= DISCOVERY_TIME;
-        if !has_discovered || !self.peers.is_hub() {
+        if self.now.since(self.started_at) < DISCOVERY_TIME {
             return false;
         }
-        let others = self.peers.live(self.now).map(|m| &m.heartbeat.vm);
-        self.has_cold_budget(tag, service) && cold::is_designated(tag, &self.me.vm, others)
-    }
-
-    fn has_cold_budget(&self, tag: Tag, service: &ServiceId) -> bool {
+        let Some(grants) = self.cold_grants.get(tag, self.now) else {
+            return false;
+        };
         let service = self.routing.service(service);
         let per_second = service.map_or(0.0, |s| s.cold_flows_per_second);
-        let is_complete = self.peers.is_complete(self.now);
         self.cold_budget
-            .has_room(tag, per_second, is_complete, self.now)
+            .has_room(tag, per_second, grants.is_sole_granter, self.now)
     }
 
     /// Load per slot, including the new flow.
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -147,7 +147,6 @@
         let placement = Placement {
             me: &self.me,
             started_at: self.started_at,
-            peers: &self.peers,
             routing: &self.routing,
             directory: &self.directory,
             flows: &self.flows,
@@ -155,6 +154,7 @@
             response_times: &self.response_times,
             handshakes: &self.handshakes,
             cold_budget: &self.cold_budget,
+            cold_grants: &self.cold_grants,
             detector: &self.detector,
             now,
         };
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -232,6 +232,15 @@
         verdict
     }
 
+    /// Opens the flow of the client with the given port at a VM. Returns the
+    /// backend server that gets it; `None` if it is reset or dropped.
+    pub fn place(&mut self, vm: usize, port: u16) -> Option<Tag> {
+        match self.packet(vm, &opening(port, 0)) {
+            Verdict::Forward(target) => Some(target.tag),
+            Verdict::Reset(_) | Verdict::Drop(_) => None,
+        }
+    }
+
     fn step(&mut self, vm: usize) {
         if self.machines[vm].is_none() {
             return;
