--- a/src/core/steering/first_read.rs
+++ b/src/core/steering/first_read.rs
@@ -2,8 +2,8 @@
 //!
 //! Covers hundreds of VMs that start together, or again after all were lost:
 //! the calls to the store must not grow with them, and none may wait for a VM
-//! that starts late. A few VMs read the store at once, the others fetch a
-//! snapshot from these and read themselves only if none comes.
+//! that starts late. A few VMs, the early readers, read the store at once. The
+//! others fetch a snapshot from these and read themselves only if none comes.
 
 use super::{
     Steering,
@@ -65,11 +65,10 @@
         SEED_ANSWER_TIME + slot
     }
 
-    /// Returns whether this VM has just started beside others and does not know
-    /// most of them yet. The seeds, which all others know, read meanwhile.
+    /// Returns whether this VM has just started and may still hear of newer
+    /// objects from others. Until then it serves with a list that may be stale and
+    /// leaves it to the early readers to watch the store.
     pub(super) fn is_discovering(&self, now: Time) -> bool {
-        let has_peers = self.peers.live(now).next().is_some();
-        let is_new = now.since(self.started_at) < FIRST_SNAPSHOT_TIME;
-        has_peers && is_new && !self.peers.is_seed()
+        now.since(self.started_at) < self.first_read_delay(now)
     }
 }
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -140,6 +140,9 @@
     pub resets: Vec<(usize, Reset)>,
     /// Number of calls to the store.
     pub calls: usize,
+    /// Number of these calls whose answer may not be stale. They count toward the
+    /// rate limit of the store.
+    pub rated_calls: usize,
     /// Number of probes sent by each VM.
     pub probes: BTreeMap<usize, usize>,
     /// Decisions, with the VM that made each.
@@ -167,6 +170,7 @@
             unresponsive: BTreeSet::new(),
             resets: Vec::new(),
             calls: 0,
+            rated_calls: 0,
             probes: BTreeMap::new(),
             decisions: Vec::new(),
             machines: Vec::new(),
@@ -292,6 +296,7 @@
             }
             Step::Call(call) => {
                 self.calls += 1;
+                self.rated_calls += usize::from(!call.allow_stale());
                 machine
                     .pending_calls
                     .insert(kind, PendingCall { call, sent: now });
@@ -305,6 +310,7 @@
             return;
         };
         self.calls += 1;
+        self.rated_calls += 1;
         if let StoreCall::Register { contact, .. } = &call {
             self.store.register(contact);
         }
--- a/tests/steering_start.rs
+++ b/tests/steering_start.rs
@@ -3,7 +3,10 @@
 //! The load: 300 VMs in five data centres without any state, whose clients send
 //! packets from the first moment. They share three seeds and one store.
 
-use dragonflytrack::kernel::clock::Millis;
+use dragonflytrack::{
+    core::steering::store::Kind,
+    kernel::clock::Millis, //
+};
 use dragonflytrack_testkit::steering::{
     Simulation,
     backend, //
@@ -48,6 +51,21 @@
     assert!(sim.calls <= bound, "{} calls", sim.calls);
 }
 
+/// The VMs start before the backend servers, so that the store's only page looks
+/// like that of a small fleet.
+#[test]
+fn few_of_the_vms_that_start_before_the_backend_servers_watch_the_store() {
+    let places: Vec<&str> = (0..VMS).map(|vm| DATA_CENTRES[vm % 5]).collect();
+    let mut sim = Simulation::start(&places);
+    sim.configure(1, &[("web", 1)]);
+    sim.run(START_BOUND);
+    let bound = MAX_READERS * Kind::ALL.len();
+    assert!(sim.rated_calls <= bound, "{} calls", sim.rated_calls);
+    sim.put_backend(&backend(1, "a"));
+    sim.run(Millis(1_000));
+    assert!((0..VMS).all(|vm| sim.place(vm, 1_000).is_some()));
+}
+
 #[test]
 fn vms_that_restart_beside_others_do_not_read_the_store() {
     let mut sim = start_sim();
