Tell VMs that start how large the fleet is and whom to ask

Every VM read the first page of the list, 295 times some 250 KB, and the store's answers took 0.46 s; the seeds came back last. That page is read by all since because a VM that starts does not know whether the fleet is small.

The reader's record at the store now holds the number of VMs and up to 16 early readers; each VM that starts looks it up (an answer that may be stale). Up to 48 VMs read the store at once. In a larger fleet the others ask the early readers as well as the seeds. A VM that is referred to nobody asks again after 50 ms instead of 300, and does not wait for a heartbeat. Reads that remain are spread over 2 ms for each VM.

The test of a small fleet whose seed is late now plays a fleet that has run before, with the same bound of 100 ms: without a record nothing tells it from a large one. A new small fleet is held to 650 ms by a test of its own; clients come later than that.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -35,7 +35,7 @@
 pub(super) const TRANSIT_TIME: Millis = Millis(20);
 
 /// Minimum interval between two requests for a kind, unless the answer arrived.
-const SNAPSHOT_REQUEST_INTERVAL: Millis = Millis(300);
+pub(super) const SNAPSHOT_REQUEST_INTERVAL: Millis = Millis(300);
 
 impl Steering {
     /// Applies objects of a kind that the store had at `as_of` or later.
@@ -203,14 +203,14 @@
 
     /// Creates queries for kinds of which another VM knows more, except those
     /// that were requested recently.
-    fn new_queries(&mut self, kinds: &[Kind], now: Time) -> Vec<KindQuery> {
+    pub(super) fn new_queries(&mut self, kinds: &[Kind], now: Time) -> Vec<KindQuery> {
         let mut queries = Vec::new();
         for kind in kinds {
-            let requested_at = &mut self.requested_at[*kind as usize];
-            if requested_at.is_some_and(|at| now.since(at) < SNAPSHOT_REQUEST_INTERVAL) {
+            let next_request = &mut self.next_request[*kind as usize];
+            if now < *next_request {
                 continue;
             }
-            *requested_at = Some(now);
+            *next_request = now + SNAPSHOT_REQUEST_INTERVAL;
             queries.push(KindQuery {
                 kind: *kind,
                 since: self.sync.get(*kind).position,
--- a/src/core/steering/first_read.rs
+++ b/src/core/steering/first_read.rs
@@ -9,9 +9,12 @@
     Steering,
     store::Kind, //
 };
-use crate::kernel::clock::{
-    Millis,
-    Time, //
+use crate::{
+    core::names::VmId,
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
 };
 
 /// One in this many VMs, besides the seeds, reads the store at its start. The
@@ -26,45 +29,55 @@
 /// one of them.
 const FIRST_SNAPSHOT_TIME: Millis = Millis(900);
 
-/// Number of slots over which the first reads are spread after these times.
+/// Minimum time over which the first reads are spread after these times.
+const FIRST_READ_SPREAD: Millis = Millis(400);
+
+/// The same for each VM of the fleet.
+const FIRST_READ_SPACING: Millis = Millis(2);
+
+/// Number of slots in this time.
 const FIRST_READ_SLOTS: u64 = 16;
 
-/// Length of such a slot.
-const FIRST_READ_SLOT: Millis = Millis(25);
+/// Largest fleet of which all VMs read the store at their start.
+const MAX_SMALL_FLEET: usize = 48;
 
 impl Steering {
     /// Returns whether this VM, which knows nothing of a kind, should read it.
-    pub(super) fn is_first_read_due(&self, kind: Kind, now: Time) -> bool {
+    pub(super) fn is_first_read_due(&self, now: Time) -> bool {
         let is_due = now.since(self.started_at) >= self.first_read_delay(now);
-        is_due || self.may_be_small(kind)
+        is_due || self.is_small_fleet()
     }
 
-    /// Returns whether a VM without state reads a kind at once, because the fleet
-    /// may be small. All VMs read the first page of backend servers. If there is
-    /// no other, the store can bear the rest from all of them, too, and a seed
-    /// that starts late holds nobody up.
-    fn may_be_small(&self, kind: Kind) -> bool {
+    /// Returns whether a VM without state reads at once, because the fleet is
+    /// small: the store can bear that from all of its VMs, and a seed that starts
+    /// late holds nobody up.
+    fn is_small_fleet(&self) -> bool {
         let reader = &self.readers[Kind::BackendServers as usize];
-        match kind {
-            Kind::BackendServers => reader.was_answered() && reader.is_at_first_page(),
-            Kind::Configuration | Kind::Evacuations => self.sync.is_known(Kind::BackendServers),
-        }
+        let size = self.registration.fleet_size();
+        reader.was_answered() && size.is_some_and(|n| n <= MAX_SMALL_FLEET)
     }
 
     /// Returns how long after its start a VM without state reads the store if no
     /// other VM has given it a snapshot.
     fn first_read_delay(&self, now: Time) -> Millis {
-        let hash = self.me.vm.hash64();
-        if self.peers.is_seed() || hash.is_multiple_of(EARLY_READERS) {
+        if self.peers.is_seed() || is_early_reader(&self.me.vm) {
             return Millis(0);
         }
-        let slot = Millis(FIRST_READ_SLOT.0 * (hash % FIRST_READ_SLOTS));
+        let slot = self.first_read_slot();
         if self.peers.live(now).next().is_some() {
             return FIRST_SNAPSHOT_TIME + slot;
         }
         SEED_ANSWER_TIME + slot
     }
 
+    /// Returns a delay that spreads the first reads of all VMs, so that the store
+    /// does not send its list to all of them at once.
+    fn first_read_slot(&self) -> Millis {
+        let fleet = self.registration.fleet_size().unwrap_or(0) as u64;
+        let spread = FIRST_READ_SPREAD.0.max(FIRST_READ_SPACING.0 * fleet);
+        Millis(spread * (self.me.vm.hash64() % FIRST_READ_SLOTS) / FIRST_READ_SLOTS)
+    }
+
     /// Returns whether this VM has just started and may still hear of newer
     /// objects from others. Until then it serves with a list that may be stale and
     /// leaves it to the early readers to watch the store.
@@ -72,3 +85,8 @@
         now.since(self.started_at) < self.first_read_delay(now)
     }
 }
+
+/// Returns whether a VM reads the store at once when it starts.
+pub(super) fn is_early_reader(vm: &VmId) -> bool {
+    vm.hash64().is_multiple_of(EARLY_READERS)
+}
--- a/src/core/steering/known_peer.rs
+++ b/src/core/steering/known_peer.rs
@@ -17,6 +17,10 @@
 /// Number of such retries.
 const FIRST_RETRIES: u32 = 3;
 
+/// How long a peer that this VM was told of at its start gets heartbeats without
+/// being heard.
+const START_PEER_TIME: Millis = Millis(1_500);
+
 /// A peer that was not heard for this long counts as lost.
 pub const LOST_AFTER: Millis = Millis(800);
 
@@ -39,6 +43,9 @@
     pub(super) wants_heartbeats: bool,
     /// When the next heartbeat is due, if it gets any.
     pub(super) next: Time,
+    /// Whether it gets heartbeats at the start of this VM, hub or not. Cleared once
+    /// it is heard.
+    pub(super) is_start_peer: bool,
     /// Heartbeats sent to it before it was first heard.
     pub(super) unanswered: u32,
 }
@@ -52,6 +59,7 @@
             silent_since: None,
             wants_heartbeats: false,
             next: now,
+            is_start_peer: false,
             unanswered: 0,
         }
     }
@@ -60,8 +68,15 @@
         now.since(self.heard) < LOST_AFTER
     }
 
+    /// Returns whether it gets heartbeats without being a hub.
+    pub(super) fn is_wanted(&self, now: Time) -> bool {
+        let may_start = now.since(self.heard) < START_PEER_TIME;
+        self.contact.is_none() || (self.is_start_peer && may_start)
+    }
+
     pub(super) fn heartbeat_interval(&self, now: Time) -> Millis {
-        if self.contact.is_none() && self.unanswered < FIRST_RETRIES {
+        let is_seed = self.contact.is_none() || self.is_start_peer;
+        if is_seed && self.unanswered < FIRST_RETRIES {
             return Millis(FIRST_RETRY_INTERVAL.0 << self.unanswered);
         }
         let is_silent = |since: Time| now.since(since) >= LOST_AFTER;
--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -26,6 +26,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
+    first_read::is_early_reader,
     known_peer::{
         HEARTBEAT_INTERVAL,
         KnownPeer,
@@ -61,6 +62,9 @@
 
 const HUBS_PER_DATA_CENTRE: usize = 2;
 
+/// Maximum number of early readers that a VM is told of at its start.
+const MAX_EARLY_READERS: usize = 16;
+
 /// Maximum number of known peers.
 const MAX_PEERS: usize = 4_096;
 
@@ -115,6 +119,27 @@
         self.add(contact.address, Some(contact), now);
     }
 
+    /// Adds a peer that gets heartbeats at the start of this VM, hub or not.
+    pub fn add_start_peer(&mut self, contact: &Contact, now: Time) {
+        self.add_contact(contact, now);
+        if let Some(known) = self.known.get_mut(&contact.address) {
+            known.is_start_peer = true;
+        }
+    }
+
+    /// Returns VMs that read the store at their start, at most
+    /// [`MAX_EARLY_READERS`].
+    pub fn early_readers(&self) -> Vec<Contact> {
+        let contacts = self.known.values().filter_map(|k| k.contact.as_ref());
+        let mut early: Vec<Contact> = contacts
+            .filter(|c| is_early_reader(&c.vm))
+            .cloned()
+            .collect();
+        early.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
+        early.truncate(MAX_EARLY_READERS);
+        early
+    }
+
     /// Adds an address at which a peer may be reachable.
     pub fn add_seed(&mut self, address: SocketAddrV4, now: Time) {
         self.add(address, None, now);
@@ -282,6 +307,7 @@
             known.contact = Some(contact);
             known.heard = now;
             known.silent_since = None;
+            known.is_start_peer = false;
             known.wants_heartbeats = heartbeat.wants_reply;
             // Ends the longer interval used while the peer was silent.
             known.next = known.next.min(now + HEARTBEAT_INTERVAL);
@@ -351,8 +377,8 @@
         let hubs = self.hubs(now);
         let mine = hubs.get(&self.me.data_centre);
         self.is_hub = mine.is_some_and(|h| h.contains(&self.me.address));
-        let seeds = self.known.iter().filter(|(_, k)| k.contact.is_none());
-        let mut neighbours: HashSet<SocketAddrV4> = seeds.map(|(address, _)| *address).collect();
+        let wanted = self.known.iter().filter(|(_, k)| k.is_wanted(now));
+        let mut neighbours: HashSet<SocketAddrV4> = wanted.map(|(address, _)| *address).collect();
         for (data_centre, hubs) in &hubs {
             if *data_centre == self.me.data_centre || self.is_hub {
                 neighbours.extend(hubs);
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -80,7 +80,10 @@
 use known_peer::HEARTBEAT_INTERVAL;
 use loads::RemoteLoads;
 use members::Members;
-use peers::Contact;
+use peers::{
+    Contact,
+    FleetRecord, //
+};
 use readiness::Readiness;
 use registration::{
     ReaderStatus,
@@ -146,10 +149,10 @@
     next_sweep: Time,
     /// Whether this VM can place new flows, and since when it cannot.
     readiness: Readiness,
-    /// When a snapshot of each kind was last requested from a peer.
+    /// Earliest time of the next request to a peer for each kind.
     ///
     /// Invariant: in the order of [`Kind::ALL`].
-    requested_at: [Option<Time>; Kind::ALL.len()],
+    next_request: [Time; Kind::ALL.len()],
     /// Invariant: in the order they were issued.
     actions: Vec<Action>,
     /// Invariant: in the order they were made.
@@ -189,7 +192,7 @@
             is_stopping: false,
             next_sweep: Time::default(),
             readiness: Readiness::default(),
-            requested_at: [None; Kind::ALL.len()],
+            next_request: [Time::default(); Kind::ALL.len()],
             actions: Vec::new(),
             decisions: Vec::new(),
             response_samples: Vec::new(),
@@ -220,14 +223,22 @@
             has_peers: self.peers.live(now).next().is_some(),
             is_reader: self.peers.is_hub() && self.rank(now) == 0 && self.store_answers(),
         };
-        self.registration.next(status, &self.me.contact(), now)
+        let record = || FleetRecord {
+            contact: self.me.contact(),
+            vms: self.peers.known() + 1,
+            early_readers: self.peers.early_readers(),
+        };
+        self.registration.next(status, record, now)
     }
 
     /// Processes the answer to a call of [`Steering::next_registration`].
     pub fn on_registration(&mut self, answer: StoreAnswer, now: Time) {
-        for contact in self.registration.on_answer(answer, now) {
-            self.peers.add_contact(&contact, now);
+        for record in self.registration.on_answer(answer, now) {
+            for contact in record.early_readers.iter().chain([&record.contact]) {
+                self.peers.add_start_peer(contact, now);
+            }
         }
+        self.send_heartbeats(now);
     }
 
     /// Accounts for a suspension of this VM that its clock did not count.
@@ -254,6 +265,7 @@
         self.reset_lost_flows(now);
         self.update_readiness(now);
         self.replicate(now);
+        self.request_unknown(now);
         if self.cold_assignments.is_due(now) {
             self.assign_cold(now);
         }
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -145,6 +145,21 @@
     pub millicores: u32,
 }
 
+/// What the reader registers at the store for VMs that start.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct FleetRecord {
+    /// Contact of the reader.
+    #[serde(flatten)]
+    pub contact: Contact,
+    /// Number of VMs that the reader knows; zero in the record of a build that did
+    /// not count them.
+    #[serde(default)]
+    pub vms: usize,
+    /// VMs that read the store at their start, besides the seeds.
+    #[serde(default)]
+    pub early_readers: Vec<Contact>,
+}
+
 impl Heartbeat {
     /// Returns the contact of the sender.
     pub fn contact(&self) -> Contact {
--- a/src/core/steering/reader_election.rs
+++ b/src/core/steering/reader_election.rs
@@ -150,7 +150,7 @@
     /// that hear each other does, and any VM whose knowledge is too old.
     fn should_read(&self, kind: Kind, now: Time) -> bool {
         let Some(age) = self.sync.age(kind, now) else {
-            return self.is_first_read_due(kind, now);
+            return self.is_first_read_due(now);
         };
         if self.is_discovering(now) {
             return false;
--- a/src/core/steering/registration.rs
+++ b/src/core/steering/registration.rs
@@ -1,11 +1,12 @@
-//! Peer discovery through the store when the configured seeds are not
-//! reachable.
+//! Peer discovery through the store, for VMs that start and for those whose
+//! configured seeds are not reachable.
 //!
-//! The VM that reads the store registers its contact there, one per data
-//! centre. A VM that hears no peer looks the registered contacts up.
+//! The VM that reads the store registers a record of the fleet there, one per
+//! data centre. Each VM looks the records up at its start, and again while it
+//! hears no peer.
 
 use super::{
-    peers::Contact,
+    peers::FleetRecord,
     store::{
         StoreAnswer,
         StoreCall, //
@@ -42,11 +43,29 @@
     is_registered: bool,
     replaces: bool,
     next: Time,
+    has_looked_up: bool,
+    fleet_size: Option<usize>,
 }
 
 impl Registration {
-    /// Returns the next call to the store, if one is due.
-    pub fn next(&mut self, status: ReaderStatus, me: &Contact, now: Time) -> Option<StoreCall> {
+    /// Returns the number of VMs of the fleet according to the records; `None`
+    /// before the first answer or without any record.
+    pub fn fleet_size(&self) -> Option<usize> {
+        self.fleet_size
+    }
+
+    /// Returns the next call to the store, if one is due. `record` creates the
+    /// record of this VM.
+    pub fn next(
+        &mut self,
+        status: ReaderStatus,
+        record: impl FnOnce() -> FleetRecord,
+        now: Time,
+    ) -> Option<StoreCall> {
+        if !self.has_looked_up {
+            self.has_looked_up = true;
+            return Some(StoreCall::Lookup);
+        }
         track_since(&mut self.reader_since, status.is_reader, now);
         track_since(&mut self.isolated_since, !status.has_peers, now);
         if !status.is_reader {
@@ -70,7 +89,7 @@
         }
         self.next = now + RETRY_INTERVAL;
         Some(StoreCall::Register {
-            contact: me.clone(),
+            record: record(),
             replaces: self.replaces,
         })
     }
@@ -81,10 +100,13 @@
         self.next = now;
     }
 
-    /// Processes an answer. Returns the contacts it contains.
-    pub fn on_answer(&mut self, answer: StoreAnswer, now: Time) -> Vec<Contact> {
+    /// Processes an answer. Returns the records it contains.
+    pub fn on_answer(&mut self, answer: StoreAnswer, now: Time) -> Vec<FleetRecord> {
         match answer {
-            StoreAnswer::Contacts(contacts) => return contacts,
+            StoreAnswer::Records(records) => {
+                self.fleet_size = records.iter().map(|r| r.vms).max();
+                return records;
+            }
             StoreAnswer::Registered => self.is_registered = true,
             StoreAnswer::RegistrationConflict => {
                 self.replaces = !self.replaces;
--- a/src/core/steering/snapshots.rs
+++ b/src/core/steering/snapshots.rs
@@ -3,13 +3,17 @@
 use std::net::SocketAddrV4;
 
 use rand::seq::IteratorRandom;
+use smallvec::SmallVec;
 
 use super::{
     Action,
     Steering,
     decision::Source,
     directory::Exported,
-    exchange::TRANSIT_TIME,
+    exchange::{
+        SNAPSHOT_REQUEST_INTERVAL,
+        TRANSIT_TIME, //
+    },
     peers::{
         Heartbeat,
         KindQuery,
@@ -28,7 +32,14 @@
     },
     store_reader::Update, //
 };
-use crate::kernel::clock::Time;
+use crate::kernel::clock::{
+    Millis,
+    Time, //
+};
+
+/// Pause after a referral that names no VM: about the time that a VM takes to serve
+/// a snapshot.
+const REFERRAL_PAUSE: Millis = Millis(50);
 
 /// Number of VMs to which a requester is referred.
 const MAX_REFERRALS: usize = 3;
@@ -110,15 +121,39 @@
             .into_iter()
             .filter(|kind| !self.sync.is_known(*kind));
         let queries: Vec<KindQuery> = unknown.map(KindQuery::full).collect();
-        let Some(from) = referral.holders.iter().copied().choose(&mut self.rng) else {
-            return;
-        };
         if queries.is_empty() {
             return;
         }
+        let from = referral.holders.iter().copied().choose(&mut self.rng);
+        let pause = match from {
+            Some(_) => SNAPSHOT_REQUEST_INTERVAL,
+            None => REFERRAL_PAUSE,
+        };
         for query in &queries {
-            self.requested_at[query.kind as usize] = Some(now);
+            self.next_request[query.kind as usize] = now + pause;
+        }
+        if let Some(from) = from {
+            self.actions.push(Action::RequestSnapshot { from, queries });
         }
+    }
+
+    /// Requests the kinds that are still unknown from a live VM that knows them,
+    /// without waiting for its next heartbeat.
+    pub(super) fn request_unknown(&mut self, now: Time) {
+        let is_due =
+            |kind: &Kind| !self.sync.is_known(*kind) && now >= self.next_request[*kind as usize];
+        let due: SmallVec<[Kind; 3]> = Kind::ALL.into_iter().filter(is_due).collect();
+        if due.is_empty() {
+            return;
+        }
+        let knows =
+            |h: &Heartbeat, kind: Kind| h.kind_reports[kind as usize].position > Position::NONE;
+        let live = self.peers.live(now).map(|m| &m.heartbeat);
+        let holders = live.filter(|h| due.iter().all(|kind| knows(h, *kind)));
+        let Some(from) = holders.map(|h| h.address).choose(&mut self.rng) else {
+            return;
+        };
+        let queries = self.new_queries(&due, now);
         self.actions.push(Action::RequestSnapshot { from, queries });
     }
 
@@ -147,7 +182,7 @@
             self.peers.add_contact(contact, now);
         }
         for part in snapshot.parts {
-            self.requested_at[part.kind as usize] = None;
+            self.next_request[part.kind as usize] = now;
             let (kind, report) = (part.kind, part.report);
             if report.position <= self.sync.get(kind).position {
                 continue;
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -15,7 +15,7 @@
     Revision, //
 };
 use super::{
-    peers::Contact,
+    peers::FleetRecord,
     tag::BackendKey, //
 };
 use crate::{
@@ -166,12 +166,12 @@
         /// Maximum wait time.
         wait: Millis,
     },
-    /// Reads the registered contacts.
+    /// Reads the registered records. The answer may be a few seconds stale.
     Lookup,
-    /// Registers the contact of a VM for its data centre.
+    /// Registers a record for the data centre of its VM.
     Register {
-        /// Contact of the VM.
-        contact: Contact,
+        /// Record.
+        record: FleetRecord,
         /// Whether to replace an existing registration instead of creating one.
         replaces: bool,
     },
@@ -200,10 +200,11 @@
     pub fn allow_stale(&self) -> bool {
         matches!(
             self,
-            StoreCall::List {
-                allow_stale: true,
-                ..
-            }
+            StoreCall::Lookup
+                | StoreCall::List {
+                    allow_stale: true,
+                    ..
+                }
         )
     }
 
@@ -235,8 +236,8 @@
         /// Position of the store.
         position: Position,
     },
-    /// Registered contacts.
-    Contacts(Vec<Contact>),
+    /// Registered records.
+    Records(Vec<FleetRecord>),
     /// The registration succeeded.
     Registered,
     /// A registration exists already, or there is none to replace.
--- a/src/core/steering/store_reader.rs
+++ b/src/core/steering/store_reader.rs
@@ -203,11 +203,6 @@
         }
     }
 
-    /// Returns whether the next call reads the first page of a list.
-    pub fn is_at_first_page(&self) -> bool {
-        matches!(self.state, State::Listing { after: None, .. })
-    }
-
     /// Returns whether the last call was answered.
     pub fn was_answered(&self) -> bool {
         self.is_answered
@@ -247,7 +242,7 @@
             // The last three do not answer calls of a reader.
             StoreAnswer::Busy
             | StoreAnswer::NoAnswer
-            | StoreAnswer::Contacts(_)
+            | StoreAnswer::Records(_)
             | StoreAnswer::Registered
             | StoreAnswer::RegistrationConflict => {
                 self.back_off(backoff, now, rng);
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -115,7 +115,7 @@
         let answer = match answer {
             StoreAnswer::Page { .. } => "page",
             StoreAnswer::Changes { .. } => "changes",
-            StoreAnswer::Contacts(_) => "contacts",
+            StoreAnswer::Records(_) => "records",
             StoreAnswer::Registered => "registered",
             StoreAnswer::RegistrationConflict => "otherwise_there",
             StoreAnswer::HistoryGone => "history_gone",
--- a/src/edge/steering/store.rs
+++ b/src/edge/steering/store.rs
@@ -99,15 +99,15 @@
 
 async fn register<F: PlatformFormat + 'static>(vm: Rc<EntryVm<F>>) {
     loop {
-        sleep(REGISTRATION_INTERVAL).await;
         let now = vm.clock.now();
         let call = vm.steering.borrow_mut().next_registration(now);
-        let Some(call) = call else {
-            continue;
-        };
-        let (answer, _) = call_store(&vm, &new_client(), &call).await;
-        let now = vm.clock.now();
-        vm.steering.borrow_mut().on_registration(answer, now);
+        if let Some(call) = call {
+            let (answer, _) = call_store(&vm, &new_client(), &call).await;
+            let now = vm.clock.now();
+            vm.steering.borrow_mut().on_registration(answer, now);
+            vm.run_actions();
+        }
+        sleep(REGISTRATION_INTERVAL).await;
     }
 }
 
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -310,9 +310,13 @@
             return;
         };
         self.calls += 1;
-        self.rated_calls += 1;
-        if let StoreCall::Register { contact, .. } = &call {
-            self.store.register(contact);
+        self.rated_calls += usize::from(!call.allow_stale());
+        if self.without_store.contains(&vm) {
+            self.vm(vm).on_registration(StoreAnswer::NoAnswer, now);
+            return;
+        }
+        if let StoreCall::Register { record, .. } = &call {
+            self.store.register(record);
         }
         if let Some(answer) = self.store.answer(&call) {
             self.vm(vm).on_registration(answer, now);
--- a/testkit/src/steering/store.rs
+++ b/testkit/src/steering/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use dragonflytrack::core::steering::{
-    peers::Contact,
+    peers::FleetRecord,
     store::{
         Change,
         Era,
@@ -36,8 +36,8 @@
     history: Vec<(u64, Kind, Change)>,
     /// Changes up to this revision were compacted.
     forgotten: u64,
-    /// Registered contacts.
-    contacts: Vec<Contact>,
+    /// Registered records.
+    records: Vec<FleetRecord>,
 }
 
 impl FakeStore {
@@ -68,9 +68,12 @@
         Era(self.era)
     }
 
-    /// Records the registered contact of a VM.
-    pub(super) fn register(&mut self, contact: &Contact) {
-        self.content.contacts.push(contact.clone());
+    /// Replaces the record of a data centre.
+    pub(super) fn register(&mut self, record: &FleetRecord) {
+        let data_centre = &record.contact.data_centre;
+        let records = &mut self.content.records;
+        records.retain(|r| r.contact.data_centre != *data_centre);
+        records.push(record.clone());
     }
 
     /// Returns whether the store does not have a revision yet.
@@ -136,7 +139,7 @@
                     .collect();
                 (!changes.is_empty()).then_some(StoreAnswer::Changes { changes, position })
             }
-            StoreCall::Lookup => Some(StoreAnswer::Contacts(self.content.contacts.clone())),
+            StoreCall::Lookup => Some(StoreAnswer::Records(self.content.records.clone())),
             StoreCall::Register { .. } => Some(StoreAnswer::Registered),
         }
     }
--- a/tests/platform_objects.rs
+++ b/tests/platform_objects.rs
@@ -8,7 +8,10 @@
             VmId, //
         },
         steering::{
-            peers::Contact,
+            peers::{
+                Contact,
+                FleetRecord, //
+            },
             store::{
                 BackendServer,
                 Configuration,
@@ -131,10 +134,19 @@
     }
 }
 
+fn record(early_readers: Vec<Contact>, vms: usize) -> FleetRecord {
+    FleetRecord {
+        contact: contact(),
+        vms,
+        early_readers,
+    }
+}
+
 #[test]
-fn vm_addresses_are_registered_and_looked_up() {
+fn records_of_the_fleet_are_registered_and_looked_up() {
+    let record = record(vec![contact()], 7);
     let register = |replaces| StoreCall::Register {
-        contact: contact(),
+        record: record.clone(),
         replaces,
     };
     let first = PlatformAdapter.store_request(&register(false));
@@ -145,7 +157,7 @@
     let spec = first.body.expect("a body")["spec"].clone();
     let body = json!({"items": [item("bud-a", spec), item("x", json!(3))], "more": false, "storeRevision": 5});
     let answer = parse(&StoreCall::Lookup, 200, &body);
-    assert_eq!(answer, StoreAnswer::Contacts(vec![contact()]));
+    assert_eq!(answer, StoreAnswer::Records(vec![record.clone()]));
     let answer = parse(&register(false), 409, &json!({}));
     assert_eq!(answer, StoreAnswer::RegistrationConflict);
 }
@@ -309,3 +321,13 @@
         let _ = PlatformAdapter.read_answer(&list(Kind::Configuration), 200, ERA, &bytes);
     }
 }
+
+/// During a roll-out, the record may be that of a build that registered its
+/// contact only.
+#[test]
+fn a_record_without_a_count_is_read() {
+    let spec = serde_json::to_value(contact()).expect("a contact");
+    let body = json!({"items": [item("bud-a", spec)], "more": false, "storeRevision": 5});
+    let answer = parse(&StoreCall::Lookup, 200, &body);
+    assert_eq!(answer, StoreAnswer::Records(vec![record(Vec::new(), 0)]));
+}
--- a/tests/steering_start.rs
+++ b/tests/steering_start.rs
@@ -85,22 +85,66 @@
     assert!(calls <= bound, "{calls} calls");
 }
 
-/// Time by which a VM of a small fleet serves after its start, without a seed.
+/// Time by which a VM of a small fleet serves when all of it starts again, without
+/// a seed.
 const SMALL_START_BOUND: Millis = Millis(100);
 
-#[test]
-fn vms_of_a_small_fleet_do_not_wait_for_a_seed_that_starts_late() {
+/// The same for the first start of a small fleet, before clients send anything:
+/// the wait for a seed and the time over which reads are spread.
+const FIRST_START_BOUND: Millis = Millis(650);
+
+fn start_small_without_seed() -> Simulation {
     let mut sim = Simulation::start(&["a", "b", "c"]);
     sim.configure(1, &[("web", 1)]);
     sim.put_backend(&backend(1, "a"));
     sim.set_seeds(&["10.9.9.9:7000".parse().expect("an address")]);
-    for vm in 0..3 {
-        sim.restart(vm);
-    }
+    restart_all(&mut sim, 3);
+    sim
+}
+
+fn restart_all(sim: &mut Simulation, vms: usize) {
+    (0..vms).for_each(|vm| sim.restart(vm));
+}
+
+#[test]
+fn vms_of_a_small_fleet_do_not_wait_for_a_seed_that_starts_late() {
+    let mut sim = start_small_without_seed();
+    sim.run(Millis(4_000));
+    restart_all(&mut sim, 3);
     sim.run(SMALL_START_BOUND);
     assert!((0..3).all(|vm| sim.vm(vm).is_ready()));
 }
 
+#[test]
+fn vms_of_a_new_small_fleet_start_without_a_seed() {
+    let mut sim = start_small_without_seed();
+    sim.run(FIRST_START_BOUND);
+    assert!((0..3).all(|vm| sim.vm(vm).is_ready()));
+}
+
+/// Time by which a large fleet serves when all of it starts again and its seeds
+/// come back after that.
+const RETURN_BOUND: Millis = Millis(400);
+
+/// All VMs lose power and return; the seeds are 0.5 s later than the others.
+#[test]
+fn vms_of_a_large_fleet_that_start_again_do_not_wait_for_the_seeds() {
+    let mut sim = start_sim();
+    sim.run(Millis(5_000));
+    (0..VMS).for_each(|vm| sim.kill(vm));
+    sim.run(Millis(1_600));
+    let before = sim.calls;
+    (3..VMS).for_each(|vm| sim.restart(vm));
+    sim.run(RETURN_BOUND);
+    let ready = (3..VMS).filter(|vm| sim.vm(*vm).is_ready()).count();
+    assert_eq!(ready, VMS - 3);
+    (0..3).for_each(|vm| sim.restart(vm));
+    sim.run(Millis(500));
+    // Each VM looks the fleet up.
+    let calls = sim.calls - before - VMS;
+    assert!(calls <= MAX_READERS * CALLS_PER_VM, "{calls} calls");
+}
+
 /// Calls a second of the whole fleet to a store that does not answer: the hubs
 /// try every 0.6 s in the mean, the others together every 0.125 s.
 const MAX_CALLS_PER_SECOND: usize = 30;
