Doubt a backend server that returns from the dead until something confirms it

A backend server that was dead and accepts a probe is now unconfirmed until a flow opens there, the store is known to list it since, or 30 s pass. It is avoided like a suspect one, reported like a dead one, and does not make a VM ready.

Test, failing before (ten VMs ready): steering_probes vms_that_are_cut_off_with_ backend_servers_of_unknown_runs_.. The eight steering test files around it passed.

--- a/src/core/steering/evidence.rs
+++ b/src/core/steering/evidence.rs
@@ -50,6 +50,9 @@
     /// Whether flows that this VM placed there do not open.
     pub(super) unopened: bool,
     pub(super) dead: bool,
+    /// When it accepted a probe after it was dead. Until a flow opens or the store
+    /// lists it, it may be another run, which ignores the flows of the former one.
+    pub(super) unconfirmed_since: Option<Time>,
     /// Whether to probe now regardless of the probe interval.
     pub(super) probe_now: bool,
 }
@@ -142,7 +145,7 @@
     }
 
     pub(super) fn is_suspect(&self) -> bool {
-        self.reported || self.is_silent()
+        self.reported || self.is_silent() || self.unconfirmed_since.is_some()
     }
 
     pub(super) fn mark_alive(&mut self, now: Time) {
@@ -156,6 +159,14 @@
         };
     }
 
+    /// Records an accepted probe.
+    pub(super) fn accept_probe(&mut self, now: Time) {
+        let was_dead = self.dead || self.is_dead_by_local_reports();
+        let since = was_dead.then_some(now).or(self.unconfirmed_since);
+        self.mark_alive(now);
+        self.unconfirmed_since = since;
+    }
+
     pub(super) fn was_recently_accepted(&self, now: Time) -> bool {
         let was_accepted = |outcome| outcome == ProbeOutcome::Accepted;
         matches!(self.probe, ProbeState::Finished { at, outcome }
@@ -173,7 +184,10 @@
     }
 
     pub(super) fn needs_probe(&self, is_relevant: impl Fn() -> bool, now: Time) -> bool {
-        let is_suspected = self.reported || self.is_data_centre_suspect || self.is_unreachable();
+        let is_suspected = self.reported
+            || self.is_data_centre_suspect
+            || self.is_unreachable()
+            || self.unconfirmed_since.is_some();
         let is_due = self.probe_now
             || self.probe == ProbeState::NotSent
             || now.since(self.probe.at()) >= PROBE_INTERVAL;
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -146,7 +146,7 @@
             kind_reports: self.sync.reports(now),
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
-            dead: self.detector.dead().collect(),
+            dead: self.detector.reportable().collect(),
             takeovers: self.takeovers.export(),
             cold_grants: self.cold_grants_for(to, now),
             contacts: self.peers.sample_contacts(now, &mut self.rng),
--- a/src/core/steering/failure_detector.rs
+++ b/src/core/steering/failure_detector.rs
@@ -28,6 +28,9 @@
 /// How long evidence is kept without renewal.
 const EVIDENCE_RETENTION: Millis = Millis::from_secs(3);
 
+/// How long a backend server that nothing confirms is doubted.
+const MAX_UNCONFIRMED_TIME: Millis = Millis::from_secs(30);
+
 /// Time limit for a probe's connection attempt.
 pub const PROBE_TIMEOUT: Millis = Millis(120);
 
@@ -118,6 +121,31 @@
             .map(|(tag, _)| *tag)
     }
 
+    /// Returns whether a backend server that was dead accepts probes, but may be
+    /// another run at the same address.
+    pub fn is_unconfirmed(&self, tag: Tag) -> bool {
+        let record = self.records.get(&tag);
+        record.is_some_and(|r| r.unconfirmed_since.is_some())
+    }
+
+    /// Iterates over the backend servers that other VMs should not use: dead and
+    /// unconfirmed ones.
+    pub fn reportable(&self) -> impl Iterator<Item = Tag> {
+        self.records
+            .iter()
+            .filter(|(_, record)| record.dead || record.unconfirmed_since.is_some())
+            .map(|(tag, _)| *tag)
+    }
+
+    /// Ends the doubt about backend servers that accepted a probe before the store
+    /// was known to list them, `as_of`, or long ago.
+    pub fn confirm(&mut self, as_of: Time, now: Time) {
+        for record in self.records.values_mut() {
+            let is_over = |at: Time| as_of > at || now.since(at) >= MAX_UNCONFIRMED_TIME;
+            record.unconfirmed_since.take_if(|at| is_over(*at));
+        }
+    }
+
     /// Clears the evidence against a backend server that has answered.
     pub fn mark_alive(&mut self, tag: Tag, now: Time) {
         if let Some(record) = self.records.get_mut(&tag) {
@@ -186,7 +214,7 @@
         };
         record.probe = ProbeState::Finished { at: now, outcome };
         if outcome == ProbeOutcome::Accepted {
-            record.mark_alive(now);
+            record.accept_probe(now);
         }
         record.update_dead()
     }
@@ -238,7 +266,8 @@
     pub fn sweep(&mut self, is_relevant: impl Fn(Tag) -> bool, now: Time) {
         self.records.retain(|tag, record| {
             let is_recent = now.since(record.last_evidence) < EVIDENCE_RETENTION;
-            is_recent || (record.is_unreachable() && is_relevant(*tag))
+            let is_unconfirmed = record.unconfirmed_since.is_some();
+            is_recent || is_unconfirmed || (record.is_unreachable() && is_relevant(*tag))
         });
     }
 }
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -356,6 +356,7 @@
             .filter(move |(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
             .map(|(tag, _)| tag)
             .filter(|tag| self.detector.health(*tag) < HealthState::Unreachable)
+            .filter(|tag| !self.detector.is_unconfirmed(*tag))
     }
 
     /// Returns whether no backend server exists at all. Other VMs could not
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -110,7 +110,8 @@
     pub outage_age: Option<Millis>,
     /// Load of the sender's flows on the backend servers.
     pub loads: Vec<TagLoad>,
-    /// Backend servers that the sender found dead.
+    /// Backend servers that the sender found dead and that nothing has confirmed
+    /// since.
     pub dead: Vec<Tag>,
     /// Data centres whose clients the routers send to the sender.
     pub takeovers: Vec<DataCentreId>,
--- a/src/core/steering/probing.rs
+++ b/src/core/steering/probing.rs
@@ -15,6 +15,7 @@
     },
     packet::ResetReason,
     replicas::Replicas,
+    store::Kind,
     tag::Tag, //
 };
 use crate::{
@@ -47,6 +48,8 @@
     }
 
     pub(super) fn send_probes(&mut self, now: Time) {
+        let as_of = self.sync.get(Kind::BackendServers).as_of;
+        self.detector.confirm(as_of, now);
         let is_relevant = is_relevant(&self.peers, &self.flows, &self.replicas);
         for tag in self.detector.take_probes(is_relevant, now) {
             match self.directory.entry(tag).filter(|e| e.may_hold_flows()) {
--- a/tests/steering_probes.rs
+++ b/tests/steering_probes.rs
@@ -132,6 +132,52 @@
         sim.partitions.extend((15..30).map(|other| (vm, other)));
     }
     sim.run(DETECTION_TIME);
-    let ready: Vec<usize> = (0..15).filter(|vm| sim.vm(*vm).is_ready()).collect();
-    assert_eq!(ready, [0; 0], "no VM can place a flow");
+    assert_eq!(ready_vms(&mut sim), [0; 0], "no VM can place a flow");
+}
+
+/// Time from the loss of all backend servers until no VM is ready.
+const UNREADY_BOUND: Millis = Millis(3_000);
+
+/// A data centre is cut off from the store and from the other one. Its backend
+/// servers go and return as other runs: they accept probes, but no flow whose tag
+/// is that of the former run. Its clients are better served elsewhere.
+#[test]
+fn vms_that_are_cut_off_with_backend_servers_of_unknown_runs_are_not_ready() {
+    let (mut sim, remote) = start_sim();
+    let local: Vec<Tag> = (31..=40).map(|key| Tag::of(BackendKey(key))).collect();
+    for vm in 0..15 {
+        let gone = remote.iter().chain(&local).map(|tag| (vm, *tag));
+        sim.unresponsive.extend(gone);
+        sim.partitions.extend((15..30).map(|other| (vm, other)));
+        sim.without_store.insert(vm);
+        for port in 0..10 {
+            open_unanswered(&mut sim, vm, 1_000 + port);
+        }
+    }
+    sim.run(UNREADY_BOUND);
+    assert_eq!(ready_vms(&mut sim), [0; 0], "before the return");
+    sim.unresponsive.retain(|(_, tag)| !local.contains(tag));
+    for _ in 0..10 {
+        sim.run(Millis(500));
+        assert_eq!(ready_vms(&mut sim), [0; 0], "after the return");
+    }
+    // One of them was the same run after all.
+    let tag = sim.place(0, 9_000).expect("a backend server to try");
+    sim.packet(0, &acknowledgement(9_000, tag, 101, 500));
+    sim.run(Millis(500));
+    assert!(sim.vm(0).is_ready());
+    sim.without_store.clear();
+    sim.run(Millis(8_000));
+    assert_eq!(ready_vms(&mut sim).len(), 15);
+}
+
+/// Opens a flow whose opening packets are not answered.
+fn open_unanswered(sim: &mut Simulation, vm: usize, port: u16) {
+    sim.packet(vm, &opening(port, 0));
+    sim.run(Millis(5));
+    sim.packet(vm, &opening(port, 1));
+}
+
+fn ready_vms(sim: &mut Simulation) -> Vec<usize> {
+    (0..15).filter(|vm| sim.vm(*vm).is_ready()).collect()
 }
