--- a/tests/steering_restores.rs
+++ b/tests/steering_restores.rs
@@ -24,43 +24,23 @@
 use dragonflytrack_testkit::steering::{
     Simulation,
     StoreContent,
-    backend,
     data,
-    opening, //
+    restores::{
+        BACKENDS,
+        BOUND,
+        DATA_CENTRES,
+        draining,
+        is_used,
+        server,
+        start_sim,
+        used,
+        versions, //
+    }, //
 };
-use proptest::prelude::*;
-
-const DATA_CENTRES: [&str; 6] = ["a", "a", "b", "b", "c", "c"];
-
-const BACKENDS: u64 = 8;
 
 /// How long the store is away before it comes back from the copy.
 const OUTAGE: Millis = Millis(1_200);
 
-/// Bound for changes and drains on a small deployment.
-const BOUND: Millis = Millis(3_000);
-
-fn server(key: u64) -> BackendServer {
-    backend(key, DATA_CENTRES[key as usize % 6])
-}
-
-fn draining(key: u64) -> BackendServer {
-    BackendServer {
-        draining: true,
-        ..server(key)
-    }
-}
-
-fn start_sim() -> Simulation {
-    let mut sim = Simulation::start(&DATA_CENTRES);
-    sim.configure(1, &[("web", 1)]);
-    for key in 1..=BACKENDS {
-        sim.put_backend(&server(key));
-    }
-    sim.run(Millis(4_000));
-    sim
-}
-
 /// Takes the store away and restores it from `copy`.
 fn restore(sim: &mut Simulation, copy: &StoreContent) {
     sim.without_store = (0..DATA_CENTRES.len()).collect();
@@ -78,31 +58,6 @@
     sim.run(Millis(500));
 }
 
-/// Returns the versions in force at the VMs.
-fn versions(sim: &mut Simulation) -> Vec<u64> {
-    let now = sim.now;
-    (0..DATA_CENTRES.len())
-        .map(|vm| sim.vm(vm).stats(now).version)
-        .collect()
-}
-
-/// Returns the backend servers that get new flows of a VM.
-fn used(sim: &mut Simulation, vm: usize, first_port: u16) -> Vec<Tag> {
-    let mut tags: Vec<Tag> = (first_port..first_port + 100)
-        .filter_map(|port| match sim.packet(vm, &opening(port, 0)) {
-            Verdict::Forward(target) => Some(target.tag),
-            _ => None,
-        })
-        .collect();
-    tags.sort_unstable();
-    tags.dedup();
-    tags
-}
-
-fn is_used(sim: &mut Simulation, tag: Tag) -> bool {
-    (0..DATA_CENTRES.len()).any(|vm| used(sim, vm, 1_000).contains(&tag))
-}
-
 #[test]
 fn a_drain_after_a_restore_takes_effect() {
     let mut sim = start_sim();
@@ -362,104 +317,3 @@
     assert_eq!(versions(&mut sim), [2; 6]);
     assert!(!is_used(&mut sim, tag));
 }
-
-/// A step of a random history.
-#[derive(Clone, Debug)]
-enum Change {
-    Drain(u64),
-    Leave(u64),
-    Configure,
-    Copy,
-    Restore,
-    CutOff(usize),
-    Reconnect,
-    Wait(u64),
-}
-
-fn changes() -> impl Strategy<Value = Change> {
-    prop_oneof![
-        (1..=BACKENDS).prop_map(Change::Drain),
-        (1..=BACKENDS).prop_map(Change::Leave),
-        Just(Change::Configure),
-        Just(Change::Copy),
-        Just(Change::Restore),
-        (0..DATA_CENTRES.len()).prop_map(Change::CutOff),
-        Just(Change::Reconnect),
-        (50_u64..1_500).prop_map(Change::Wait),
-    ]
-}
-
-/// What backend servers and operators said last. They write it again after a
-/// restore.
-#[derive(Default)]
-struct LastWords {
-    version: u64,
-    drained: Vec<u64>,
-    left: Vec<u64>,
-}
-
-impl LastWords {
-    fn write_again(&self, sim: &mut Simulation) {
-        sim.configure(self.version, &[("web", 1)]);
-        for key in 1..=BACKENDS {
-            if self.left.contains(&key) {
-                sim.remove_backend(&server(key));
-            } else if self.drained.contains(&key) {
-                sim.put_backend(&draining(key));
-            } else {
-                sim.put_backend(&server(key));
-            }
-        }
-    }
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
-
-    #[test]
-    fn all_vms_agree_with_what_was_said_last(history in prop::collection::vec(changes(), 1..24)) {
-        let mut sim = start_sim();
-        let mut last = LastWords { version: 1, ..LastWords::default() };
-        let mut copy = sim.store.copy();
-        for change in &history {
-            match change {
-                Change::Drain(key) if !last.left.contains(key) => {
-                    last.drained.push(*key);
-                    sim.put_backend(&draining(*key));
-                }
-                Change::Leave(key) if !last.left.contains(key) => {
-                    last.left.push(*key);
-                    sim.remove_backend(&server(*key));
-                }
-                Change::Configure => {
-                    last.version += 1;
-                    sim.configure(last.version, &[("web", 1)]);
-                }
-                Change::Copy => copy = sim.store.copy(),
-                Change::Restore => {
-                    sim.store.restore(copy.clone());
-                    sim.run(Millis(300));
-                    last.write_again(&mut sim);
-                }
-                Change::CutOff(vm) => { sim.without_store.insert(*vm); }
-                Change::Reconnect => sim.without_store.clear(),
-                Change::Wait(span) => sim.run(Millis(*span)),
-                Change::Drain(_) | Change::Leave(_) => {}
-            }
-            let before = versions(&mut sim);
-            sim.run(Millis(20));
-            let after = versions(&mut sim);
-            prop_assert!(before.iter().zip(&after).all(|(b, a)| a >= b), "{before:?} {after:?}");
-        }
-        sim.without_store.clear();
-        sim.run(RESTORE_GRACE + BOUND);
-        prop_assert_eq!(versions(&mut sim), vec![last.version; 6]);
-        for key in 1..=BACKENDS {
-            let is_out = last.left.contains(&key) || last.drained.contains(&key);
-            let tag = Tag::of(server(key).key);
-            prop_assert!(!(is_out && is_used(&mut sim, tag)), "{key} is used");
-        }
-        let all_out = (1..=BACKENDS).all(|k| last.left.contains(&k) || last.drained.contains(&k));
-        prop_assert!(all_out || (0..6).all(|vm| !used(&mut sim, vm, 9_000).is_empty()));
-    }
-}
