Reset no flow by a verdict on its backend server that is old

Their clients were served by other data centres, through flows to these backend servers, and came back after the cut with their flows. A VM that probes nothing on its own keeps such a verdict until 3 s after the last report, 6.5 s after the cut there, and reset the first packet it got. Unconfirmed backend servers, which are reported like dead ones, made it longer and the hand-over of clients more frequent.

A packet is now reset only if a probe failed in the last 1.5 s. Otherwise it is forwarded and a probe sent at once; if that fails, the next packet is reset.

--- a/src/core/steering/evidence.rs
+++ b/src/core/steering/evidence.rs
@@ -32,6 +32,10 @@
 /// How long a report of a hub holds without renewal.
 const REPORT_TIME: Millis = Millis(600);
 
+/// How long after a failed probe the flows of a dead backend server are reset
+/// without another one.
+const DEATH_TRUST_TIME: Millis = Millis(1_500);
+
 /// How long an accepted probe overrides death reports of other VMs.
 const ACCEPTANCE_TRUST_TIME: Millis = Millis::from_secs(3);
 
@@ -59,6 +63,8 @@
     /// Whether flows that this VM placed there do not open.
     pub(super) unopened: bool,
     pub(super) dead: bool,
+    /// When a probe last failed.
+    pub(super) failed_at: Time,
     /// When it accepted a probe after it was dead. Until a flow opens or the store
     /// lists it, it may be another run, which ignores the flows of the former one.
     pub(super) unconfirmed_since: Option<Time>,
@@ -176,6 +182,11 @@
         self.unconfirmed_since = since;
     }
 
+    /// Returns whether it is dead and a probe has shown so recently.
+    pub(super) fn is_dead_for_sure(&self, now: Time) -> bool {
+        self.dead && now.since(self.failed_at) < DEATH_TRUST_TIME
+    }
+
     pub(super) fn was_recently_accepted(&self, now: Time) -> bool {
         let was_accepted = |outcome| outcome == ProbeOutcome::Accepted;
         matches!(self.probe, ProbeState::Finished { at, outcome }
--- a/src/core/steering/failure_detector.rs
+++ b/src/core/steering/failure_detector.rs
@@ -121,6 +121,14 @@
             .map(|(tag, _)| *tag)
     }
 
+    /// Returns whether a backend server is dead and a probe has shown so recently.
+    /// It may have returned since an earlier probe, for instance when a cut ended,
+    /// and hold flows that other VMs opened.
+    pub fn is_dead_for_sure(&self, tag: Tag, now: Time) -> bool {
+        let record = self.records.get(&tag);
+        record.is_some_and(|r| r.is_dead_for_sure(now))
+    }
+
     /// Returns whether a backend server that was dead accepts probes, but may be
     /// another run at the same address.
     pub fn is_unconfirmed(&self, tag: Tag) -> bool {
@@ -216,8 +224,10 @@
             return false;
         };
         record.probe = ProbeState::Finished { at: now, outcome };
-        if outcome == ProbeOutcome::Accepted {
-            record.accept_probe(now);
+        match outcome {
+            ProbeOutcome::Accepted => record.accept_probe(now),
+            ProbeOutcome::Refused | ProbeOutcome::TimedOut => record.failed_at = now,
+            ProbeOutcome::Unclear => {}
         }
         record.update_dead()
     }
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -176,6 +176,9 @@
             Verdict::Forward(_) => {
                 let signal = self.flows.observe(packet, tag, closes || rejects, now);
                 self.record_signal(signal, packet, now);
+                if self.detector.health(tag) == HealthState::Dead {
+                    self.detector.request_probe(tag);
+                }
                 verdict
             }
             Verdict::Reset(_) if rejects => Verdict::Drop(DropReason::RejectedFlow),
@@ -201,7 +204,7 @@
         if !entry.may_hold_flows() {
             return Verdict::Reset(ResetReason::BackendGone);
         }
-        if self.detector.health(tag) == HealthState::Dead {
+        if self.detector.is_dead_for_sure(tag, now) {
             return Verdict::Reset(ResetReason::BackendDead);
         }
         Verdict::Forward(target(tag, entry))
--- a/tests/steering_probes.rs
+++ b/tests/steering_probes.rs
@@ -216,3 +216,34 @@
         assert_eq!(sim.vm(vm).stats(now).dead, 0, "VM {vm}");
     }
 }
+
+/// A VM found a backend server dead while a cut lasted. After the cut it gets packets
+/// of a flow that another VM opened there.
+#[test]
+fn a_flow_is_not_reset_because_its_backend_server_was_dead_before() {
+    let (mut sim, lost) = start_sim();
+    let tag = lost[0];
+    sim.packet(3, &data(1_000, tag, 1, 500));
+    lose_power(&mut sim, &lost);
+    sim.run(Millis(3_000));
+    let now = sim.now;
+    assert_eq!(sim.vm(3).stats(now).dead, 1);
+    sim.unresponsive.clear();
+    sim.run(Millis(1_600));
+    let verdict = sim.packet(3, &data(2_000, tag, 1, 900));
+    assert!(matches!(verdict, Verdict::Forward(_)), "{verdict:?}");
+}
+
+/// As above, but the backend server is still dead.
+#[test]
+fn a_flow_that_reaches_a_vm_later_is_reset_once_a_probe_fails_again() {
+    let (mut sim, lost) = start_sim();
+    let tag = lost[0];
+    sim.packet(3, &data(1_000, tag, 1, 500));
+    lose_power(&mut sim, &lost);
+    sim.run(Millis(5_000));
+    sim.packet(3, &data(2_000, tag, 1, 900));
+    sim.run(Millis(400));
+    let verdict = sim.packet(3, &data(2_000, tag, 1, 900));
+    assert_eq!(verdict, Verdict::Reset(ResetReason::BackendDead));
+}
