--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -51,6 +51,7 @@
 mod exchange;
 mod first_read;
 mod flow_resets;
+mod hubs;
 mod known_peer;
 mod probing;
 mod reader_election;
