--- a/src/core/steering/failure_detector.rs
+++ b/src/core/steering/failure_detector.rs
@@ -121,6 +121,14 @@
             .map(|(tag, _)| *tag)
     }
 
+    /// Returns whether a backend server is dead and a probe has shown so recently.
+    /// It may have returned since an earlier probe, for instance when a cut ended,
+    /// and hold flows that other VMs opened.
+    pub fn is_dead_for_sure(&self, tag: Tag, now: Time) -> bool {
+        let record = self.records.get(&tag);
+        record.is_some_and(|r| r.is_dead_for_sure(now))
+    }
+
     /// Returns whether a backend server that was dead accepts probes, but may be
     /// another run at the same address.
     pub fn is_unconfirmed(&self, tag: Tag) -> bool {
@@ -185,6 +193,9 @@
             return;
         }
         record.reported = true;
+        if is_local {
+            record.last_local_report = Some(now);
+        }
         let reports = &mut record.local_reports;
         if is_local && reports.len() < MIN_LOCAL_REPORTS && !reports.contains(&from) {
             reports.push(from);
@@ -213,8 +224,10 @@
             return false;
         };
         record.probe = ProbeState::Finished { at: now, outcome };
-        if outcome == ProbeOutcome::Accepted {
-            record.accept_probe(now);
+        match outcome {
+            ProbeOutcome::Accepted => record.accept_probe(now),
+            ProbeOutcome::Refused | ProbeOutcome::TimedOut => record.failed_at = now,
+            ProbeOutcome::Unclear => {}
         }
         record.update_dead()
     }
@@ -222,14 +235,20 @@
     /// Takes the backend servers to probe now: those that clients of this VM
     /// wait for first, then suspects for which `is_relevant` holds. Within each
     /// group, those probed longest ago come first when the rate limit applies.
-    pub fn take_probes(&mut self, is_relevant: impl Fn(Tag) -> bool, now: Time) -> Vec<Tag> {
+    /// `has_hubs` tells whether hubs of this data centre probe as well.
+    pub fn take_probes(
+        &mut self,
+        is_relevant: impl Fn(Tag) -> bool,
+        has_hubs: bool,
+        now: Time,
+    ) -> Vec<Tag> {
         let refill = MAX_PROBES_PER_SECOND * now.since(self.tokens_at).0 as f64 / 1_000.0;
         self.probe_tokens = MAX_PROBE_BURST.min(self.probe_tokens + refill);
         self.tokens_at = now;
         let wanted = self
             .records
             .iter()
-            .filter(|(tag, record)| record.needs_probe(|| is_relevant(**tag), now));
+            .filter(|(tag, record)| record.needs_probe(|| is_relevant(**tag), has_hubs, now));
         let mut due: Vec<(bool, Time, Tag)> = wanted
             .map(|(tag, record)| (!record.is_silent(), record.probe.at(), *tag))
             .collect();
