Give no new flow to backend servers that accept requests and answer none

Cause: a backend server that says it is well, accepts connections and acknowledges data, but hangs, shows neither retransmissions nor failed probes. Ruled out by a first run of the test, whose generator repeated requests: repeats do show such a backend server, and the code before avoided it then.

VMs now report, beside the load of each backend server, how many of their flows wait ten times as long as the service usually takes (1 s at least) and whether it has answered them in the last 1.5 s. Where two flows wait and nobody is answered, a VM avoids it, and hubs tell the VMs of their data centre. If a third of a service stalls, it is the service that is slow, and nothing is avoided. Open flows stay.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -9,6 +9,7 @@
         Decision,
         Source, //
     },
+    flows::Load,
     peers::{
         Heartbeat,
         KindQuery,
@@ -24,7 +25,8 @@
         Position,
         Value, //
     },
-    store_reader::Update, //
+    store_reader::Update,
+    tag::Tag, //
 };
 use crate::kernel::clock::{
     Millis,
@@ -129,10 +131,12 @@
 
     /// Creates the heartbeat for the VM at `to`.
     pub fn heartbeat(&mut self, to: SocketAddrV4, now: Time) -> Heartbeat {
-        let load = |(tag, load): (_, super::flows::Load)| TagLoad {
+        let load = |(tag, load): (Tag, Load)| TagLoad {
             tag,
             flows: load.flows,
             waiting: load.waiting,
+            stalled: self.stalls.stalled_flows(tag),
+            is_answering: self.stalls.is_answering(tag, now),
         };
         Heartbeat {
             vm: self.me.vm.clone(),
@@ -147,6 +151,7 @@
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
             dead: self.detector.reportable().collect(),
+            stalled: self.stalls.found().collect(),
             takeovers: self.takeovers.export(),
             cold_grants: self.cold_grants_for(to, now),
             contacts: self.peers.sample_contacts(now, &mut self.rng),
@@ -170,6 +175,9 @@
         for data_centre in &heartbeat.takeovers {
             self.record_takeover(data_centre, false, now);
         }
+        if is_local && self.peers.is_neighbour(heartbeat.address) {
+            self.stalls.record_report(&heartbeat.stalled, now);
+        }
         if let Some(grants) = heartbeat.cold_grants.clone().filter(|_| is_local) {
             self.cold_grants.replace(grants, now);
         }
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -76,6 +76,13 @@
         self.load.iter().map(|(tag, load)| (*tag, *load))
     }
 
+    /// Iterates over the open flows whose client waits for an answer: the backend
+    /// server and the time since the request.
+    pub fn waits(&self, now: Time) -> impl Iterator<Item = (Tag, Millis)> {
+        let waiting = self.flows.values().filter(|f| f.is_open && f.is_waiting);
+        waiting.map(move |f| (f.tag, now.since(f.waiting_since)))
+    }
+
     /// Returns the backend servers tried for an opening flow, and whether
     /// `copy` was seen before. `None` if the flow is new.
     pub fn handshake_attempts(&self, id: &FlowId, copy: u32, now: Time) -> Option<(&[Tag], bool)> {
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -42,6 +42,7 @@
 pub mod response_times;
 pub mod routing;
 pub mod snapshot_admission;
+pub mod stalls;
 pub mod stats;
 pub mod store;
 pub mod store_reader;
@@ -95,6 +96,7 @@
 use response_times::ResponseTimes;
 use routing::Routing;
 use snapshot_admission::SnapshotAdmission;
+use stalls::Stalls;
 pub use stats::Stats;
 use store::{
     Kind,
@@ -131,6 +133,7 @@
     cold_assignments: ColdAssignments,
     cold_grants: HeldGrants,
     response_times: ResponseTimes,
+    stalls: Stalls,
     handshakes: Handshakes,
     unlisted: UnlistedTags,
     peers: Members,
@@ -184,6 +187,7 @@
             cold_assignments: ColdAssignments::default(),
             cold_grants: HeldGrants::default(),
             response_times: ResponseTimes::default(),
+            stalls: Stalls::default(),
             handshakes: Handshakes::default(),
             unlisted: UnlistedTags::default(),
             remote_loads: RemoteLoads::default(),
@@ -267,6 +271,7 @@
         self.update_readiness(now);
         self.replicate(now);
         self.request_unknown(now);
+        self.update_stalls(now);
         if self.cold_assignments.is_due(now) {
             self.assign_cold(now);
         }
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -113,6 +113,8 @@
     /// Backend servers that the sender found dead and that nothing has confirmed
     /// since.
     pub dead: Vec<Tag>,
+    /// Backend servers that answer no request, as far as the sender knows.
+    pub stalled: Vec<Tag>,
     /// Data centres whose clients the routers send to the sender.
     pub takeovers: Vec<DataCentreId>,
     /// Backend servers in cold start to which the recipient may send new flows.
@@ -131,6 +133,10 @@
     pub flows: u32,
     /// Number of these flows whose client waits for an answer.
     pub waiting: u32,
+    /// Number of these flows whose client has waited far longer than usual.
+    pub stalled: u32,
+    /// Whether the backend server has answered the sender recently.
+    pub is_answering: bool,
 }
 
 /// Address and selection criteria of a VM.
--- a/src/core/steering/placement.rs
+++ b/src/core/steering/placement.rs
@@ -33,6 +33,7 @@
     loads::RemoteLoads,
     response_times::ResponseTimes,
     routing::Routing,
+    stalls::Stalls,
     tag::Tag,
 };
 use crate::{core::names::ServiceId, kernel::clock::Time};
@@ -62,6 +63,8 @@
     pub remote_loads: &'a RemoteLoads,
     /// Response times of the backend servers.
     pub response_times: &'a ResponseTimes,
+    /// Backend servers that answer no request.
+    pub stalls: &'a Stalls,
     /// Backend servers that reject new flows or leave them unanswered.
     pub handshakes: &'a Handshakes,
     /// New flows sent to backend servers in cold start.
@@ -108,15 +111,19 @@
     fn candidates(&self, service: &ServiceId) -> SmallVec<[Candidate; 32]> {
         let pool = self.directory.pool(service);
         let slowness = self.response_times.slowness(pool, self.now);
+        let stalled = self.stalls.avoided(pool, self.now);
         pool.iter()
             .zip(slowness)
-            .filter_map(|(tag, slowness)| self.candidate(*tag, slowness))
+            .filter_map(|(tag, slowness)| self.candidate(*tag, slowness, &stalled))
             .collect()
     }
 
-    fn candidate(&self, tag: Tag, slowness: f64) -> Option<Candidate> {
+    fn candidate(&self, tag: Tag, slowness: f64, stalled: &[Tag]) -> Option<Candidate> {
         let entry = self.directory.entry(tag)?;
-        let fitness = self.fitness(tag, entry);
+        let fitness = match self.fitness(tag, entry) {
+            Fitness::Ready if stalled.contains(&tag) => Fitness::Doubtful,
+            fitness => fitness,
+        };
         (fitness < Fitness::Unfit).then(|| Candidate {
             tag,
             fitness,
--- a/src/core/steering/response_times.rs
+++ b/src/core/steering/response_times.rs
@@ -61,9 +61,7 @@
     pub fn slowness(&self, pool: &[Tag], now: Time) -> SmallVec<[f64; 32]> {
         let latencies: SmallVec<[Option<f64>; 32]> =
             pool.iter().map(|tag| self.latency(*tag, now)).collect();
-        let mut known: SmallVec<[f64; 32]> = latencies.iter().flatten().copied().collect();
-        known.sort_by(f64::total_cmp);
-        let median = known.get(known.len() / 2).copied().unwrap_or(1.0).max(1.0);
+        let median = self.median(pool, now).unwrap_or(1.0).max(1.0);
         let ratio = |latency: &Option<f64>| latency.map_or(1.0, |p| p / median);
         latencies
             .iter()
@@ -78,6 +76,15 @@
             .collect()
     }
 
+    /// Returns the median response time of a pool in milliseconds; `None` while no
+    /// average is known.
+    pub fn median(&self, pool: &[Tag], now: Time) -> Option<f64> {
+        let known = pool.iter().filter_map(|tag| self.latency(*tag, now));
+        let mut known: SmallVec<[f64; 32]> = known.collect();
+        known.sort_by(f64::total_cmp);
+        known.get(known.len() / 2).copied()
+    }
+
     fn latency(&self, tag: Tag, now: Time) -> Option<f64> {
         let latency = self.latencies.get(&tag)?;
         let is_usable = latency.answers >= MIN_ANSWERS && now.since(latency.last) < RETENTION;
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -152,6 +152,7 @@
             flows: &self.flows,
             remote_loads: &self.remote_loads,
             response_times: &self.response_times,
+            stalls: &self.stalls,
             handshakes: &self.handshakes,
             cold_budget: &self.cold_budget,
             cold_grants: &self.cold_grants,
@@ -227,6 +228,7 @@
             }
             BackendSignal::Answered { tag, elapsed } => {
                 self.detector.mark_alive(tag, now);
+                self.stalls.record_answer(tag, now);
                 if let Some(elapsed) = elapsed {
                     self.response_times.record(tag, elapsed, now);
                     self.response_samples.push(elapsed);
