--- a/src/core/steering/snapshot_admission.rs
+++ b/src/core/steering/snapshot_admission.rs
@@ -3,15 +3,21 @@
 //! Covers hundreds of VMs that start together and know the same few seeds. A
 //! seed serves a few of them at once and refers the others to VMs that it has
 //! served already, so that the number of sources multiplies with each round and
-//! neither the link nor the memory of a seed bounds the start of the fleet.
+//! neither the link nor the memory of a seed bounds the start of the fleet. Serving
+//! few at once is fastest: each gets its snapshot sooner and then serves others.
 
 use std::{
     collections::VecDeque,
-    net::SocketAddrV4, //
+    net::SocketAddrV4,
+    ops::RangeInclusive, //
 };
 
-/// Full snapshots that a VM serves at the same time.
-const MAX_CONCURRENT: usize = 6;
+/// CPU capacity, in thousandths of a core, for each full snapshot that a VM serves
+/// at the same time.
+const MILLICORES_PER_SNAPSHOT: u32 = 100;
+
+/// Bounds of the full snapshots that a VM serves at the same time.
+const CONCURRENT: RangeInclusive<usize> = 2..=6;
 
 /// Number of remembered VMs that got a full snapshot.
 const MAX_HOLDERS: usize = 16;
@@ -19,17 +25,20 @@
 /// Full snapshots being served, and VMs that got one.
 #[derive(Debug, Default)]
 pub struct SnapshotAdmission {
-    /// Invariant: at most [`MAX_CONCURRENT`].
+    /// Invariant: at most the upper bound of [`CONCURRENT`].
     active: usize,
     /// Invariant: oldest first, at most [`MAX_HOLDERS`], without duplicates.
     holders: VecDeque<SocketAddrV4>,
 }
 
 impl SnapshotAdmission {
-    /// Admits one more full snapshot, unless too many are being served. Each
-    /// admitted one must end with [`SnapshotAdmission::finish`].
-    pub fn admit(&mut self) -> bool {
-        let has_room = self.active < MAX_CONCURRENT;
+    /// Admits one more full snapshot, unless too many are being served by a VM with
+    /// this CPU capacity. Each admitted one must end with
+    /// [`SnapshotAdmission::finish`].
+    pub fn admit(&mut self, millicores: u32) -> bool {
+        let wanted = (millicores / MILLICORES_PER_SNAPSHOT) as usize;
+        let limit = wanted.clamp(*CONCURRENT.start(), *CONCURRENT.end());
+        let has_room = self.active < limit;
         self.active += usize::from(has_room);
         has_room
     }
--- a/src/core/steering/snapshots.rs
+++ b/src/core/steering/snapshots.rs
@@ -39,7 +39,7 @@
 
 /// Pause after a referral that names no VM: about the time that a VM takes to serve
 /// a snapshot.
-const REFERRAL_PAUSE: Millis = Millis(50);
+const REFERRAL_PAUSE: Millis = Millis(25);
 
 /// Number of VMs to which a requester is referred.
 const MAX_REFERRALS: usize = 3;
@@ -49,7 +49,7 @@
     /// snapshots are being served. Each admitted request must end with
     /// [`Steering::end_snapshot`].
     pub fn admit_snapshot(&mut self, request: &SnapshotRequest, now: Time) -> Result<(), Referral> {
-        if !request.is_full() || self.admission.admit() {
+        if !request.is_full() || self.admission.admit(self.me.millicores) {
             return Ok(());
         }
         Err(Referral {
--- a/testkit/src/steering.rs
+++ b/testkit/src/steering.rs
@@ -84,7 +84,7 @@
 /// Duration of a probe that an unresponsive backend server leaves unanswered.
 const PROBE_DURATION: Millis = Millis(240);
 
-/// Time that a VM takes to serve a snapshot.
+/// Time that a VM takes to serve a snapshot, for each full one at the same time.
 const SNAPSHOT_DURATION: Millis = Millis(20);
 
 struct PendingCall {
@@ -412,7 +412,8 @@
                     self.perform_actions(to);
                     return;
                 }
-                self.schedule(SNAPSHOT_DURATION, Delivery::Snapshot { from, request });
+                let duration = self.snapshot_duration(from, &request);
+                self.schedule(duration, Delivery::Snapshot { from, request });
             }
             Delivery::Snapshot { from, request } if self.machines[from].is_some() => {
                 let to = vm_index(request.requester);
@@ -433,6 +434,16 @@
         }
     }
 
+    /// Full snapshots share the link of the VM that serves them.
+    fn snapshot_duration(&self, vm: usize, request: &SnapshotRequest) -> Millis {
+        if !request.is_full() {
+            return SNAPSHOT_DURATION;
+        }
+        let is_full_from = |d: &Delivery| matches!(d, Delivery::Snapshot { from, request } if *from == vm && request.is_full());
+        let others = self.deliveries.iter().filter(|(_, d)| is_full_from(d));
+        Millis(SNAPSHOT_DURATION.0 * (1 + others.count() as u64))
+    }
+
     fn can_reach(&self, from: usize, to: usize) -> bool {
         let is_running = |vm: usize| self.machines.get(vm).is_some_and(Option::is_some);
         is_running(from) && is_running(to) && !self.is_partitioned(from, to)
