--- a/src/core/steering/evidence.rs
+++ b/src/core/steering/evidence.rs
@@ -183,7 +183,7 @@
     }
 
     /// Returns whether it is dead and a probe has shown so recently.
-    pub(super) fn is_dead_for_sure(&self, now: Time) -> bool {
+    pub(super) fn is_dead_by_recent_probe(&self, now: Time) -> bool {
         self.dead && now.since(self.failed_at) < DEATH_TRUST_TIME
     }
 
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -150,7 +150,7 @@
             kind_reports: self.sync.reports(now),
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
-            dead: self.detector.reportable().collect(),
+            dead: self.detector.dead_or_unconfirmed().collect(),
             stalled: self.stalls.found().collect(),
             takeovers: self.takeovers.export(),
             cold_grants: self.cold_grants_for(to, now),
--- a/src/core/steering/failure_detector.rs
+++ b/src/core/steering/failure_detector.rs
@@ -124,9 +124,9 @@
     /// Returns whether a backend server is dead and a probe has shown so recently.
     /// It may have returned since an earlier probe, for instance when a cut ended,
     /// and hold flows that other VMs opened.
-    pub fn is_dead_for_sure(&self, tag: Tag, now: Time) -> bool {
+    pub fn is_dead_by_recent_probe(&self, tag: Tag, now: Time) -> bool {
         let record = self.records.get(&tag);
-        record.is_some_and(|r| r.is_dead_for_sure(now))
+        record.is_some_and(|r| r.is_dead_by_recent_probe(now))
     }
 
     /// Returns whether a backend server that was dead accepts probes, but may be
@@ -138,7 +138,7 @@
 
     /// Iterates over the backend servers that other VMs should not use: dead and
     /// unconfirmed ones.
-    pub fn reportable(&self) -> impl Iterator<Item = Tag> {
+    pub fn dead_or_unconfirmed(&self) -> impl Iterator<Item = Tag> {
         self.records
             .iter()
             .filter(|(_, record)| record.dead || record.unconfirmed_since.is_some())
--- a/src/core/steering/first_read.rs
+++ b/src/core/steering/first_read.rs
@@ -5,6 +5,8 @@
 //! that starts late. A few VMs, the early readers, read the store at once. The
 //! others fetch a snapshot from these and read themselves only if none comes.
 
+use std::ops::RangeInclusive;
+
 use super::{
     Steering,
     store::Kind, //
@@ -38,8 +40,9 @@
 /// Number of slots in this time.
 const FIRST_READ_SLOTS: u64 = 16;
 
-/// Largest fleet of which all VMs read the store at their start.
-const MAX_SMALL_FLEET: usize = 48;
+/// Sizes of a fleet of which all VMs read the store at their start. Zero comes from
+/// a build that did not count.
+const SMALL_FLEET: RangeInclusive<usize> = 1..=48;
 
 impl Steering {
     /// Returns whether this VM, which knows nothing of a kind, should read it.
@@ -54,7 +57,7 @@
     fn is_small_fleet(&self) -> bool {
         let reader = &self.readers[Kind::BackendServers as usize];
         let size = self.registration.fleet_size();
-        reader.was_answered() && size.is_some_and(|n| n <= MAX_SMALL_FLEET)
+        reader.was_answered() && size.is_some_and(|n| SMALL_FLEET.contains(&n))
     }
 
     /// Returns how long after its start a VM without state reads the store if no
--- a/src/core/steering/hubs.rs
+++ b/src/core/steering/hubs.rs
@@ -107,7 +107,10 @@
         let hubs = self.hubs(now);
         let mine = hubs.get(&self.me.data_centre);
         self.is_hub = mine.is_some_and(|h| h.contains(&self.me.address));
-        let wanted = self.known.iter().filter(|(_, k)| k.is_wanted(now));
+        let wanted = self
+            .known
+            .iter()
+            .filter(|(_, k)| k.gets_first_heartbeats(now));
         let mut neighbours: HashSet<SocketAddrV4> = wanted.map(|(address, _)| *address).collect();
         for (data_centre, hubs) in &hubs {
             if *data_centre == self.me.data_centre || self.is_hub {
--- a/src/core/steering/known_peer.rs
+++ b/src/core/steering/known_peer.rs
@@ -69,7 +69,7 @@
     }
 
     /// Returns whether it gets heartbeats without being a hub.
-    pub(super) fn is_wanted(&self, now: Time) -> bool {
+    pub(super) fn gets_first_heartbeats(&self, now: Time) -> bool {
         let may_start = now.since(self.heard) < START_PEER_TIME;
         self.contact.is_none() || (self.is_start_peer && may_start)
     }
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -205,7 +205,7 @@
         if !entry.may_hold_flows() {
             return Verdict::Reset(ResetReason::BackendGone);
         }
-        if self.detector.is_dead_for_sure(tag, now) {
+        if self.detector.is_dead_by_recent_probe(tag, now) {
             return Verdict::Reset(ResetReason::BackendDead);
         }
         Verdict::Forward(target(tag, entry))
