--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 setup:
 	@command -v cmake >/dev/null || (apt-get update -qq && apt-get install -y -qq cmake)
 
-test: setup fmt clippy unit docs
+test: setup fmt clippy docs unit
 
 fmt:
 	$(CARGO) fmt --all --check
--- a/src/core/steering/hubs.rs
+++ b/src/core/steering/hubs.rs
@@ -55,7 +55,7 @@
 
     /// Returns whether all other VMs of this data centre that may be hubs are
     /// heard: selected ones, and those that rank before this VM. Those that were
-    /// silent for longer than [`MISSING_FOR`] do not count. A peer of unknown
+    /// silent for longer than `MISSING_FOR` do not count. A peer of unknown
     /// data centre counts as one of this data centre.
     pub fn hears_local_hubs(&self, now: Time) -> bool {
         let is_missing = |k: &KnownPeer| !k.is_live(now) && now.since(k.heard) < MISSING_FOR;
--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns VMs that read the store at their start, at most
-    /// [`MAX_EARLY_READERS`].
+    /// `MAX_EARLY_READERS`.
     pub fn early_readers(&self) -> Vec<Contact> {
         let contacts = self.known.values().filter_map(|k| k.contact.as_ref());
         let mut early: Vec<Contact> = contacts
@@ -127,7 +127,7 @@
         self.next_selection = now;
     }
 
-    /// Iterates over the peers that were heard within [`LOST_AFTER`].
+    /// Iterates over the peers that were heard within `LOST_AFTER`.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Member> {
         self.heard
             .values()
