Reserve messages and folders for load decisions of the whole fleet

Cause: five parts (loads, capability, admission, paths, spill) are built side by side and share messages. No decision changes. Result: platform_objects, steering_placing and steering_messages pass.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -5,6 +5,7 @@
 use super::{
     Action,
     Steering,
+    capability::ServiceTime,
     decision::{
         Decision,
         Source, //
@@ -137,6 +138,7 @@
             waiting: load.waiting,
             stalled: self.stalls.stalled_flows(tag),
             is_answering: self.stalls.is_answering(tag, now),
+            service_time: ServiceTime::default(),
         };
         Heartbeat {
             vm: self.me.vm.clone(),
@@ -150,6 +152,8 @@
             kind_reports: self.sync.reports(now),
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
+            routes: Vec::new(),
+            paths: Vec::new(),
             dead: self.detector.dead_or_unconfirmed().collect(),
             stalled: self.stalls.found().collect(),
             takeovers: self.takeovers.export(),
--- a/src/core/steering/loads.rs
+++ b/src/core/steering/loads/mod.rs
@@ -2,6 +2,9 @@
 
 use hashbrown::HashMap;
 
+mod exchange;
+pub mod message;
+
 use super::{
     peers::TagLoad,
     tag::Tag, //
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -16,6 +16,8 @@
 };
 
 pub mod action;
+pub mod admission;
+pub mod capability;
 pub mod cold;
 pub mod cold_grants;
 pub mod decision;
@@ -31,6 +33,7 @@
 pub mod loads;
 pub mod members;
 pub mod packet;
+pub mod paths;
 pub mod peers;
 pub mod placement;
 pub mod position;
--- a/src/core/steering/peers.rs
+++ b/src/core/steering/peers.rs
@@ -8,8 +8,15 @@
 };
 
 use super::{
+    capability::ServiceTime,
     cold_grants::ColdGrants,
+    loads::message::{
+        DataCentreLoads,
+        FleetLoads,
+        RouteDemand, //
+    },
     packet::FlowId,
+    paths::PathReport,
     store::{
         Kind,
         Object,
@@ -43,6 +50,10 @@
 pub enum PeerMessage {
     /// Periodic heartbeat.
     Heartbeat(Heartbeat),
+    /// Load of the fleet, for a VM of the hub's data centre.
+    FleetLoads(FleetLoads),
+    /// Load of a data centre, for the hubs of another one.
+    DataCentreLoads(DataCentreLoads),
     /// Flow records for the VM that holds replicas.
     Replicas(ReplicaBatch),
     /// Acknowledges a batch.
@@ -110,6 +121,10 @@
     pub outage_age: Option<Millis>,
     /// Load of the sender's flows on the backend servers.
     pub loads: Vec<TagLoad>,
+    /// Demand of the sender's clients by route.
+    pub routes: Vec<RouteDemand>,
+    /// The sender's handshakes with the backend servers of other data centres.
+    pub paths: Vec<PathReport>,
     /// Backend servers that the sender found dead and that nothing has confirmed
     /// since.
     pub dead: Vec<Tag>,
@@ -137,6 +152,8 @@
     pub stalled: u32,
     /// Whether the backend server has answered the sender recently.
     pub is_answering: bool,
+    /// Service time that the sender measured.
+    pub service_time: ServiceTime,
 }
 
 /// Address and selection criteria of a VM.
--- a/src/core/steering/placement.rs
+++ b/src/core/steering/placement/mod.rs
@@ -12,6 +12,8 @@
 };
 use smallvec::SmallVec;
 
+pub mod spill;
+
 use super::{
     Identity,
     cold::{
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -98,6 +98,14 @@
     ///
     /// Invariant: at least one with a weight above zero.
     pub shares: SmallVec<[Share; 2]>,
+    /// Urgency of its requests; 0 is the most urgent.
+    pub priority: u8,
+    /// Response time within which an answer is of full value to the client. Zero if
+    /// none is configured.
+    pub target_latency: Millis,
+    /// Response time after which the client has given up. Zero if none is
+    /// configured.
+    pub timeout: Millis,
 }
 
 /// Operator configuration.
--- a/src/core/steering/takeover.rs
+++ b/src/core/steering/takeover.rs
@@ -111,6 +111,8 @@
     pub fn on_message(&mut self, msg: PeerMessage, now: Time) {
         match msg {
             PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(heartbeat, now),
+            PeerMessage::FleetLoads(loads) => self.on_fleet_loads(loads, now),
+            PeerMessage::DataCentreLoads(loads) => self.on_data_centre_loads(loads, now),
             PeerMessage::Replicas(batch) => self.on_replicas(&batch, now),
             PeerMessage::ReplicasAcked { holder, number } => {
                 self.replication.on_ack(holder, number);
--- a/testkit/src/steering/samples.rs
+++ b/testkit/src/steering/samples.rs
@@ -54,6 +54,9 @@
         routes: vec![Route {
             address: route_address(),
             shares: shares.iter().map(share).collect(),
+            priority: 0,
+            target_latency: Millis(500),
+            timeout: Millis(4_000),
         }],
         services: shares.iter().map(service).collect(),
         idle_timeout: Millis(15_000),
--- a/tests/platform_objects.rs
+++ b/tests/platform_objects.rs
@@ -259,6 +259,10 @@
     let weights: Vec<u32> = cfg.routes[0].shares.iter().map(|s| s.weight).collect();
     assert_eq!(weights[0], 9 * weights[1]);
     assert_eq!(cfg.routes[1].shares[0].service.as_str(), "wuno96b");
+    let route = &cfg.routes[0];
+    assert_eq!(route.priority, 2);
+    assert_eq!(route.target_latency, Millis(250));
+    assert_eq!(route.timeout, Millis(4_000));
     assert_eq!(cfg.services[0].cold_start, Millis(2_000));
     assert!((cfg.services[0].cold_flows_per_second - 0.5).abs() < f64::EPSILON);
 }
