Sum the loads of the fleet at the hubs

Above 16 VMs a VM knew only the loads that the two hubs have themselves. Hubs now sum the reports of their data centre, exchange sums with the hubs of the others and send each VM the sum without its own part.

--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -11,6 +11,7 @@
         Source, //
     },
     flows::Load,
+    loads::Report,
     peers::{
         Heartbeat,
         KindQuery,
@@ -130,8 +131,8 @@
         self.decisions.push(Decision::StoreRestored { before, era });
     }
 
-    /// Creates the heartbeat for the VM at `to`.
-    pub fn heartbeat(&mut self, to: SocketAddrV4, now: Time) -> Heartbeat {
+    /// Returns the load of this VM's flows on the backend servers.
+    pub(super) fn own_loads(&self, now: Time) -> Vec<TagLoad> {
         let load = |(tag, load): (Tag, Load)| TagLoad {
             tag,
             flows: load.flows,
@@ -140,6 +141,11 @@
             is_answering: self.stalls.is_answering(tag, now),
             service_time: ServiceTime::default(),
         };
+        self.flows.loads().map(load).collect()
+    }
+
+    /// Creates the heartbeat for the VM at `to`.
+    pub fn heartbeat(&mut self, to: SocketAddrV4, now: Time) -> Heartbeat {
         Heartbeat {
             vm: self.me.vm.clone(),
             incarnation: self.me.incarnation,
@@ -151,8 +157,8 @@
             reaches_store: self.store_answers(),
             kind_reports: self.sync.reports(now),
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
-            loads: self.flows.loads().map(load).collect(),
-            routes: Vec::new(),
+            loads: self.loads_for(to, now),
+            routes: self.route_arrivals.demand().to_vec(),
             paths: Vec::new(),
             dead: self.detector.dead_or_unconfirmed().collect(),
             stalled: self.stalls.found().collect(),
@@ -163,7 +169,7 @@
     }
 
     /// Processes a heartbeat of another VM.
-    pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) {
+    pub fn on_heartbeat(&mut self, mut heartbeat: Heartbeat, now: Time) {
         if let Some(age) = heartbeat.outage_age {
             self.sync.record_outage(now - age);
         }
@@ -186,7 +192,8 @@
             self.cold_grants.replace(grants, now);
         }
         self.replicas.mark_heard(heartbeat.address, now);
-        let (from, loads) = (heartbeat.address, heartbeat.loads.clone());
+        let from = heartbeat.address;
+        let report = Report::take(&mut heartbeat, now);
         let kinds = self.compare(&heartbeat.kind_reports, now);
         let sender = heartbeat.contact();
         let before = self.peers.record_heartbeat(heartbeat, now);
@@ -195,8 +202,9 @@
             // A VM that has just started waits for the answer.
             self.send_heartbeats(now);
         }
-        let before = before.map_or(Vec::new(), |h| h.loads);
-        self.remote_loads.replace(&before, &loads);
+        if from != self.me.address {
+            self.remote_loads.record(from, report);
+        }
         let queries = self.new_queries(&kinds, now);
         if !queries.is_empty() {
             self.actions.push(Action::RequestSnapshot { from, queries });
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -4,6 +4,8 @@
 //! not show: which clients wait for a backend server, whether it still answers,
 //! and its load.
 
+use std::net::SocketAddrV4;
+
 use hashbrown::HashMap;
 
 use super::{
@@ -83,6 +85,12 @@
         waiting.map(move |f| (f.tag, now.since(f.waiting_since)))
     }
 
+    /// Iterates over the routes of the flows whose client waits for an answer.
+    pub fn waiting_routes(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let waiting = self.flows.iter().filter(|(_, f)| f.is_waiting);
+        waiting.map(|(id, _)| id.service)
+    }
+
     /// Returns the backend servers tried for an opening flow, and whether
     /// `copy` was seen before. `None` if the flow is new.
     pub fn handshake_attempts(&self, id: &FlowId, copy: u32, now: Time) -> Option<(&[Tag], bool)> {
--- a/src/core/steering/hubs.rs
+++ b/src/core/steering/hubs.rs
@@ -53,6 +53,11 @@
         self.is_hub
     }
 
+    /// Returns whether all VMs exchange heartbeats with each other.
+    pub fn is_full_mesh(&self) -> bool {
+        self.known.len() <= MAX_FULL_MESH
+    }
+
     /// Returns whether all other VMs of this data centre that may be hubs are
     /// heard: selected ones, and those that rank before this VM. Those that were
     /// silent for longer than `MISSING_FOR` do not count. A peer of unknown
@@ -99,7 +104,7 @@
     pub(super) fn select_neighbours(&mut self, now: Time) {
         self.next_selection = now + SELECTION_INTERVAL;
         self.known.retain(|_, k| now.since(k.heard) < FORGET_AFTER);
-        if self.known.len() <= MAX_FULL_MESH {
+        if self.is_full_mesh() {
             self.is_hub = true;
             self.neighbours = self.known.keys().copied().collect();
             return;
--- /dev/null
+++ b/src/core/steering/loads/arrivals.rs
@@ -0,0 +1,102 @@
+//! Rates of new flows by route at this VM.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddrV4, //
+};
+
+use super::message::RouteDemand;
+use crate::kernel::clock::{
+    Millis,
+    Time, //
+};
+
+/// Windows of the last second.
+const WINDOWS: usize = 4;
+
+/// Length of a window.
+const WINDOW: Millis = Millis(250);
+
+/// New flows of a route.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct Counts {
+    arrivals: u32,
+    refused: u32,
+}
+
+/// New flows by route in the last second.
+#[derive(Debug, Default)]
+pub struct RouteArrivals {
+    /// Invariant: bounded by the routes of the configuration; only those with new
+    /// flows in the last second.
+    windows: BTreeMap<SocketAddrV4, [Counts; WINDOWS]>,
+    /// Window that is being counted.
+    ///
+    /// Invariant: below `WINDOWS`.
+    at: usize,
+    next_window: Time,
+    /// Demand at the end of the last window.
+    demand: Vec<RouteDemand>,
+}
+
+impl RouteArrivals {
+    /// Records a new flow. The route must be one of the configuration.
+    pub fn record(&mut self, route: SocketAddrV4) {
+        self.counts(route).arrivals += 1;
+    }
+
+    /// Records that a new flow was refused, which counts as an arrival already.
+    pub fn record_refused(&mut self, route: SocketAddrV4) {
+        self.counts(route).refused += 1;
+    }
+
+    fn counts(&mut self, route: SocketAddrV4) -> &mut Counts {
+        let windows = self.windows.entry(route).or_default();
+        &mut windows[self.at]
+    }
+
+    /// Returns whether a window has ended.
+    pub fn is_due(&self, now: Time) -> bool {
+        now >= self.next_window
+    }
+
+    /// Computes the demand of the last second and starts the next window. `waiting`
+    /// names the route of each outstanding request.
+    pub fn update(&mut self, waiting: impl Iterator<Item = SocketAddrV4>, now: Time) {
+        let mut outstanding: BTreeMap<SocketAddrV4, u32> = BTreeMap::new();
+        for route in waiting {
+            *outstanding.entry(route).or_default() += 1;
+        }
+        for route in self.windows.keys() {
+            outstanding.entry(*route).or_default();
+        }
+        let demand = outstanding.into_iter();
+        self.demand = demand.map(|(r, n)| self.route_demand(r, n)).collect();
+        self.start_window(now);
+    }
+
+    fn route_demand(&self, route: SocketAddrV4, outstanding: u32) -> RouteDemand {
+        let windows = self.windows.get(&route).copied().unwrap_or_default();
+        RouteDemand {
+            route,
+            outstanding,
+            arrivals_per_s: windows.iter().map(|c| c.arrivals).sum(),
+            refused_per_s: windows.iter().map(|c| c.refused).sum(),
+        }
+    }
+
+    fn start_window(&mut self, now: Time) {
+        self.next_window = now + WINDOW;
+        self.at = (self.at + 1) % WINDOWS;
+        for windows in self.windows.values_mut() {
+            windows[self.at] = Counts::default();
+        }
+        self.windows
+            .retain(|_, windows| windows.iter().any(|c| *c != Counts::default()));
+    }
+
+    /// Returns the demand by route, in the order of their addresses.
+    pub fn demand(&self) -> &[RouteDemand] {
+        &self.demand
+    }
+}
--- a/src/core/steering/loads/message.rs
+++ b/src/core/steering/loads/message.rs
@@ -7,7 +7,10 @@
     Serialize, //
 };
 
-use super::super::peers::TagLoad;
+use super::{
+    super::peers::TagLoad,
+    wire, //
+};
 use crate::{
     core::names::{
         DataCentreId,
@@ -36,11 +39,16 @@
     pub origin: LoadsOrigin,
     /// Age of the oldest part of the sums.
     pub age: Millis,
-    /// Sums for the backend servers of the recipient's data centre, then for others.
+    /// Sums for the backend servers of the recipient's data centre, and for others
+    /// as far as there is room.
     ///
-    /// Invariant: at most `MAX_ENTRIES`.
+    /// Invariant: at most `MAX_ENTRIES`, in the order of their tags.
+    #[serde(with = "wire::tag_loads")]
     pub backends: Vec<TagLoad>,
     /// Demand of the whole fleet, the recipient included.
+    ///
+    /// Invariant: in the order of service, origin and destination.
+    #[serde(with = "wire::services")]
     pub services: Vec<ServiceDemand>,
     /// Demand of the whole fleet, the recipient included.
     pub routes: Vec<RouteDemand>,
@@ -55,11 +63,14 @@
     pub origin: LoadsOrigin,
     /// Data centre of the VMs.
     pub data_centre: DataCentreId,
-    /// Sums for the backend servers of the recipient's data centre.
+    /// Sums for the backend servers of the recipient's data centre, and for others
+    /// as far as there is room.
     ///
-    /// Invariant: at most `MAX_ENTRIES`.
+    /// Invariant: at most `MAX_ENTRIES`, in the order of their tags.
+    #[serde(with = "wire::tag_loads")]
     pub backends: Vec<TagLoad>,
     /// Demand of the clients of `data_centre`.
+    #[serde(with = "wire::services")]
     pub services: Vec<ServiceDemand>,
     /// Demand of the clients of `data_centre`.
     pub routes: Vec<RouteDemand>,
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -83,7 +83,11 @@
 use handshakes::Handshakes;
 pub use identity::Identity;
 use known_peer::HEARTBEAT_INTERVAL;
-use loads::RemoteLoads;
+use loads::{
+    LoadSender,
+    RemoteLoads,
+    RouteArrivals, //
+};
 use members::Members;
 use peers::{
     Contact,
@@ -148,6 +152,8 @@
     registration: Registration,
     admission: SnapshotAdmission,
     remote_loads: RemoteLoads,
+    load_sender: LoadSender,
+    route_arrivals: RouteArrivals,
     sync: SyncState,
     /// Invariant: one per kind, in the order of [`Kind::ALL`].
     readers: [StoreReader; Kind::ALL.len()],
@@ -194,6 +200,8 @@
             handshakes: Handshakes::default(),
             unlisted: UnlistedTags::default(),
             remote_loads: RemoteLoads::default(),
+            load_sender: LoadSender::default(),
+            route_arrivals: RouteArrivals::default(),
             sync: SyncState::default(),
             readers: Kind::ALL.map(StoreReader::open),
             rng: SmallRng::seed_from_u64(rng_seed),
@@ -274,6 +282,7 @@
         self.update_readiness(now);
         self.replicate(now);
         self.request_unknown(now);
+        self.update_loads(now);
         self.update_stalls(now);
         if self.cold_assignments.is_due(now) {
             self.assign_cold(now);
--- a/src/core/steering/placement/mod.rs
+++ b/src/core/steering/placement/mod.rs
@@ -8,7 +8,8 @@
 
 use rand::{
     Rng,
-    rngs::SmallRng, //
+    rngs::SmallRng,
+    seq::SliceRandom, //
 };
 use smallvec::SmallVec;
 
@@ -49,6 +50,10 @@
 /// Weight of a waiting client relative to an idle flow.
 const WAITING_WEIGHT: f64 = 3.0;
 
+/// Candidates drawn where many VMs decide by the same sums. They would all choose
+/// the same backend server if each compared all of them.
+const SAMPLES: usize = 3;
+
 /// Inputs of a placement.
 pub struct Placement<'a> {
     /// This VM, which is in the data centre of its clients.
@@ -107,7 +112,15 @@
         if self.prefers_local(&candidates) {
             candidates.retain(|c| c.is_local);
         }
-        Some((least_loaded(&candidates, rng)?, best))
+        Some((self.select(&mut candidates, rng)?, best))
+    }
+
+    fn select(&self, candidates: &mut [Candidate], rng: &mut SmallRng) -> Option<Tag> {
+        if !self.remote_loads.are_shared() {
+            return least_loaded(candidates, rng);
+        }
+        let (drawn, _) = candidates.partial_shuffle(rng, SAMPLES);
+        least_loaded(drawn, rng)
     }
 
     fn candidates(&self, service: &ServiceId) -> SmallVec<[Candidate; 32]> {
--- a/src/core/steering/probing.rs
+++ b/src/core/steering/probing.rs
@@ -112,7 +112,7 @@
 
     pub(super) fn remove_lost_peers(&mut self, now: Time) {
         for lost in self.peers.take_lost(now) {
-            self.remote_loads.replace(&lost.loads, &[]);
+            self.remote_loads.remove(lost.address);
             self.record_peer(false, lost.contact());
             // A VM that is not a neighbour stops its heartbeats when it no longer
             // needs this VM.
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -69,6 +69,7 @@
                 None => {
                     let client = *packet.flow.client.ip();
                     self.handshakes.detect_retry(client, now);
+                    self.route_arrivals.record(packet.flow.service);
                     SmallVec::new()
                 }
                 // A packet may be duplicated on the way.
