--- a/src/core/steering/loads/demand.rs
+++ b/src/core/steering/loads/demand.rs
@@ -19,7 +19,10 @@
         ServiceDemand, //
     },
 };
-use crate::core::names::DataCentreId;
+use crate::core::names::{
+    DataCentreId,
+    ServiceId, //
+};
 
 /// Loads and demand of this VM.
 pub(super) struct OwnLoads<'a> {
@@ -55,7 +58,7 @@
             services.extend(received.loads.services.iter().cloned());
             routes.add(&received.loads.routes);
         }
-        services.sort_unstable_by(|a, b| key(a).cmp(&key(b)));
+        sort_services(&mut services);
         self.services = services;
         self.routes = routes.into_demand();
     }
@@ -113,7 +116,13 @@
     demand.into_iter().map(row).collect()
 }
 
-fn key(demand: &ServiceDemand) -> impl Ord + '_ {
+/// Sorts demand by service, origin and destination.
+pub(super) fn sort_services(services: &mut [ServiceDemand]) {
+    services.sort_unstable_by(|a, b| key(a).cmp(&key(b)));
+}
+
+/// Returns the key by which demand is ordered.
+pub(super) fn key(demand: &ServiceDemand) -> (&ServiceId, &DataCentreId, &DataCentreId) {
     (&demand.service, &demand.origin, &demand.destination)
 }
 
--- a/src/core/steering/loads/mod.rs
+++ b/src/core/steering/loads/mod.rs
@@ -234,6 +234,7 @@
         self.fleet_sums.clear();
         add_loads(&mut self.fleet_sums, &loads.backends);
         loads.backends = Vec::new();
+        demand::sort_services(&mut loads.services);
         let arrived = now;
         self.fleet = Some(Received { loads, arrived });
         true
--- a/src/core/steering/loads/sending.rs
+++ b/src/core/steering/loads/sending.rs
@@ -38,8 +38,9 @@
     },
 };
 
-/// Interval between two messages to the same VM.
-const SEND_INTERVAL: Millis = Millis(500);
+/// Interval between two messages to the same VM. With 500 ms, reports that are 250 ms
+/// old when they are summed would be older than 0.75 s at the end of an interval.
+const SEND_INTERVAL: Millis = Millis(450);
 
 /// Interval between two counts of the demand.
 const COUNT_INTERVAL: Millis = Millis(250);
@@ -47,13 +48,16 @@
 /// Maximum number of backend servers in a message.
 pub const MAX_ENTRIES: usize = 160;
 
-/// Entries that a hub sends per second to the VMs of its data centre. An entry takes
-/// 10 bytes; the hub's limit is 250 KB/s with heartbeats and demand.
-const ENTRIES_PER_S: usize = 14_400;
+/// Entries that a hub sends in an interval to the VMs of its data centre. An entry
+/// takes 9 bytes; the limit of a VM is 250 KB/s with heartbeats and demand.
+const ENTRIES_PER_INTERVAL: usize = 7_200;
 
 /// Maximum number of rows of demand by service in a message.
 const MAX_SERVICE_ROWS: usize = 128;
 
+/// Such rows that a hub sends in an interval to the VMs of its data centre.
+const SERVICE_ROWS_PER_INTERVAL: usize = 3_000;
+
 /// Maximum number of routes in a message.
 const MAX_ROUTE_ROWS: usize = 64;
 
@@ -61,7 +65,7 @@
 /// that was silent for `LOST_AFTER` and 3 s more.
 const SETTLING_TIME: Millis = Millis(4_000);
 
-/// A hub that has sent no sums for this long has stopped: one and a half intervals.
+/// A hub that has sent no sums for this long has stopped: more than one and a half intervals.
 const OTHER_TIMEOUT: Millis = Millis(750);
 
 /// When this VM sends sums.
@@ -132,13 +136,13 @@
         let members = self.peers.live_local(now);
         let mut members: Vec<SocketAddrV4> = members.map(|m| m.heartbeat.address).collect();
         members.sort_unstable();
-        let per_s = 1_000 / SEND_INTERVAL.0 as usize * members.len().max(1);
-        let limit = MAX_ENTRIES.min(ENTRIES_PER_S / per_s);
+        let limit = MAX_ENTRIES.min(ENTRIES_PER_INTERVAL / members.len().max(1));
+        let max_rows = MAX_SERVICE_ROWS.min(SERVICE_ROWS_PER_INTERVAL / members.len().max(1));
         let mut sums = self.remote_loads.sums.clone();
         add_loads(&mut sums, own);
         let entries = self.select_entries(sums, &self.me.data_centre, limit);
         let age = self.remote_loads.age_of_sums(now);
-        let services = largest_services(&self.remote_loads.services);
+        let services = largest_services(&self.remote_loads.services, max_rows);
         let routes = largest_routes(&self.remote_loads.routes);
         let lost_paths = self.lost_paths(now);
         for to in members {
@@ -164,7 +168,7 @@
         let demand =
             self.remote_loads
                 .demand_from(&self.me.data_centre, &own_loads, &self.directory);
-        let services = largest_services(&demand.services);
+        let services = largest_services(&demand.services, MAX_SERVICE_ROWS);
         let routes = largest_routes(&demand.routes);
         let sums = self.remote_loads.sums_of(&self.me.data_centre, own);
         for (data_centre, hubs) in self.peers.hubs(now) {
@@ -258,11 +262,11 @@
 }
 
 /// Returns the rows with the most flows, in the same order as before.
-fn largest_services(rows: &[ServiceDemand]) -> Vec<ServiceDemand> {
+fn largest_services(rows: &[ServiceDemand], count: usize) -> Vec<ServiceDemand> {
     let mut flows: Vec<u32> = rows.iter().map(|r| r.flows).collect();
-    let least = least_of_largest(&mut flows, MAX_SERVICE_ROWS);
+    let least = least_of_largest(&mut flows, count);
     let rows = rows.iter().filter(|r| r.flows >= least);
-    rows.take(MAX_SERVICE_ROWS).cloned().collect()
+    rows.take(count).cloned().collect()
 }
 
 /// Returns the rows with the most arrivals, in the same order as before.
@@ -276,5 +280,6 @@
 /// Returns the least of the `count` largest sizes; zero if there are fewer.
 fn least_of_largest(sizes: &mut [u32], count: usize) -> u32 {
     sizes.sort_unstable_by_key(|size| Reverse(*size));
-    sizes.get(count - 1).copied().unwrap_or(0)
+    let last = count.checked_sub(1).and_then(|at| sizes.get(at));
+    last.copied().unwrap_or(0)
 }
--- a/src/core/steering/loads/wire.rs
+++ b/src/core/steering/loads/wire.rs
@@ -64,7 +64,8 @@
     }
 }
 
-/// Demand by service, with each name sent once.
+/// Demand by service, with each name sent once, in the order of service, origin and
+/// destination.
 pub(super) mod services {
     use serde::{
         Deserialize,
@@ -74,15 +75,18 @@
         de::Error, //
     };
 
-    use super::super::message::ServiceDemand;
+    use super::super::{
+        demand::key,
+        message::ServiceDemand, //
+    };
     use crate::core::names::{
         DataCentreId,
         ServiceId, //
     };
 
-    /// Positions of service, origin and destination among the names, outstanding
-    /// requests, flows.
-    type Row = (u16, u16, u16, u32, u32);
+    /// Distance of the cell from the previous one, outstanding requests, flows. Cells
+    /// are numbered by service, origin and destination.
+    type Row = (u32, u32, u32);
 
     #[derive(Serialize, Deserialize)]
     struct Table {
@@ -91,44 +95,64 @@
         rows: Vec<Row>,
     }
 
+    impl Table {
+        fn cell(&self, demand: &ServiceDemand) -> u32 {
+            let position = |id| self.data_centres.binary_search(id).unwrap_or(0);
+            let service = self.services.binary_search(&demand.service).unwrap_or(0);
+            let origin = service * self.data_centres.len() + position(&demand.origin);
+            let cell = origin * self.data_centres.len() + position(&demand.destination);
+            u32::try_from(cell).unwrap_or(u32::MAX)
+        }
+
+        fn demand(&self, cell: u32, outstanding: u32, flows: u32) -> Option<ServiceDemand> {
+            let (cell, width) = (cell as usize, self.data_centres.len());
+            let origin = cell.checked_div(width)?;
+            Some(ServiceDemand {
+                service: self.services.get(origin / width)?.clone(),
+                origin: self.data_centres[origin % width].clone(),
+                destination: self.data_centres[cell % width].clone(),
+                outstanding,
+                flows,
+            })
+        }
+    }
+
     pub fn serialize<S: Serializer>(demand: &[ServiceDemand], to: S) -> Result<S::Ok, S::Error> {
+        let mut sorted: Vec<&ServiceDemand> = demand.iter().collect();
+        sorted.sort_unstable_by(|a, b| key(a).cmp(&key(b)));
+        let data_centres = sorted.iter().flat_map(|d| [&d.origin, &d.destination]);
         let mut table = Table {
-            services: Vec::new(),
-            data_centres: Vec::new(),
-            rows: Vec::with_capacity(demand.len()),
+            services: sorted_names(sorted.iter().map(|d| &d.service)),
+            data_centres: sorted_names(data_centres),
+            rows: Vec::new(),
         };
-        for d in demand {
-            let service = position(&mut table.services, &d.service);
-            let origin = position(&mut table.data_centres, &d.origin);
-            let destination = position(&mut table.data_centres, &d.destination);
-            let row = (service, origin, destination, d.outstanding, d.flows);
-            table.rows.push(row);
-        }
+        let mut previous = 0;
+        let row = |demand: &ServiceDemand| {
+            let cell = table.cell(demand);
+            let distance = cell - std::mem::replace(&mut previous, cell);
+            (distance, demand.outstanding, demand.flows)
+        };
+        table.rows = sorted.into_iter().map(row).collect();
         table.serialize(to)
     }
 
-    /// Returns the position of a name, which is added unless it is known.
-    fn position<T: Clone + PartialEq>(names: &mut Vec<T>, name: &T) -> u16 {
-        let known = names.iter().position(|n| n == name);
-        let at = known.unwrap_or_else(|| {
-            names.push(name.clone());
-            names.len() - 1
-        });
-        u16::try_from(at).unwrap_or(u16::MAX)
+    fn sorted_names<'a, T: Clone + Ord + 'a>(names: impl Iterator<Item = &'a T>) -> Vec<T> {
+        let mut names: Vec<&T> = names.collect();
+        names.sort_unstable();
+        names.dedup();
+        names.into_iter().cloned().collect()
     }
 
     pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<ServiceDemand>, D::Error> {
         let table = Table::deserialize(from)?;
-        let row = |(service, origin, destination, outstanding, flows): &Row| {
-            Some(ServiceDemand {
-                service: table.services.get(usize::from(*service))?.clone(),
-                origin: table.data_centres.get(usize::from(*origin))?.clone(),
-                destination: table.data_centres.get(usize::from(*destination))?.clone(),
-                outstanding: *outstanding,
-                flows: *flows,
-            })
-        };
-        let rows: Option<Vec<ServiceDemand>> = table.rows.iter().map(row).collect();
-        rows.ok_or_else(|| D::Error::custom("name out of range"))
+        let mut cell = 0_u32;
+        let mut demand = Vec::with_capacity(table.rows.len());
+        for (distance, outstanding, flows) in &table.rows {
+            let next = cell.checked_add(*distance);
+            let row = next.and_then(|at| table.demand(at, *outstanding, *flows));
+            demand.push(row.ok_or_else(|| D::Error::custom("name out of range"))?);
+            cell += distance;
+        }
+        Ok(demand)
     }
 }
