Wait for the sums of other hubs before a new hub sends its own

A hub that restarted heard no other one at first and sent sums of the few VMs that reported to it yet: VM 30 of 80 saw 1 of 7 flows on a backend server (tests/steering_loads.rs, a_hub_that_restarts_sends_no_incomplete_sums).

--- a/src/core/steering/loads/sending.rs
+++ b/src/core/steering/loads/sending.rs
@@ -102,9 +102,10 @@
         now.since(self.settling_since) >= SETTLING_TIME
     }
 
+    /// Returns whether another hub sends sums, or may do so and was not heard yet.
     pub(super) fn hears_other(&self, now: Time) -> bool {
-        let sent = self.other_sent;
-        sent.is_some_and(|at| now.since(at) < OTHER_TIMEOUT)
+        let since = self.other_sent.max(Some(self.settling_since));
+        since.is_some_and(|at| now.since(at) < OTHER_TIMEOUT)
     }
 
     pub(super) fn is_count_due(&mut self, now: Time) -> bool {
--- a/tests/steering_load_messages.rs
+++ b/tests/steering_load_messages.rs
@@ -42,6 +42,7 @@
 };
 use dragonflytrack_testkit::steering::{
     Simulation,
+    acknowledgement,
     backend, //
 };
 
@@ -144,7 +145,8 @@
     let at = sim.now;
     assert_eq!(sim.vm(0).stats(at).backends, 600);
     for port in 1_000..1_300 {
-        sim.place(0, port);
+        let tag = sim.place(0, port).expect("the flow is placed");
+        sim.packet(0, &acknowledgement(port, tag, 101, 500));
     }
     let (mut now, mut bytes, mut sums, mut largest) = (sim.now, 0, 0, 0);
     let hub = sim.vm(0);
--- a/tests/steering_loads.rs
+++ b/tests/steering_loads.rs
@@ -189,6 +189,31 @@
     }
 }
 
+/// Guards against a hub that restarts and sends sums before all VMs report to it.
+#[test]
+fn a_hub_that_restarts_sends_no_incomplete_sums() {
+    let mut fleet = Fleet::start();
+    fleet.open_in_turn(800);
+    fleet.sim.run(SPREADING);
+    fleet.sim.restart(0);
+    for _ in 0..50 {
+        fleet.sim.run(Millis(130));
+        let age = fleet.oldest(1..VMS);
+        assert!(age.is_some_and(|age| age <= Millis(2_000)), "{age:?}");
+        for vm in [3, 6, 30, 78] {
+            for at in 0..fleet.tags.len() {
+                let tag = fleet.tags[at];
+                let least = fleet.count(tag, |v| ![vm, 0].contains(&v));
+                let load = fleet.load(vm, tag);
+                assert!(load >= least, "{load} of {least} at VM {vm}");
+            }
+        }
+    }
+    for vm in 1..VMS {
+        fleet.check_local_loads(vm, |v| v != 0);
+    }
+}
+
 /// Guards against loads that are counted twice while both hubs send them.
 #[test]
 fn two_hubs_that_both_send_are_not_counted_twice() {
