--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -59,6 +59,11 @@
     kind: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RouteLabels {
+    route: String,
+}
+
 /// The counters and histograms that the I/O tasks update.
 #[derive(Debug)]
 pub struct Metrics {
@@ -158,6 +163,7 @@
         let mut registry = Registry::with_prefix(PREFIX);
         self.add_counters(&mut registry);
         add_state_gauges(&mut registry, steering, now);
+        add_load_gauges(&mut registry, steering, now);
         add_gauge(
             &mut registry,
             "log_lines_lost",
@@ -263,6 +269,28 @@
     }
 }
 
+fn add_load_gauges(registry: &mut Registry, steering: &Steering, now: Time) {
+    let loads = steering.remote_loads();
+    let age = loads.age(now).map_or(-1, |a| a.0 as i64);
+    registry.register(
+        "loads_age_milliseconds",
+        "How old the loads of the fleet are, -1 if there are none",
+        ConstGauge::new(age),
+    );
+    let outstanding: Family<RouteLabels, prometheus_client::metrics::gauge::Gauge> =
+        Family::default();
+    for demand in loads.routes() {
+        let route = demand.route.to_string();
+        let gauge = outstanding.get_or_create(&RouteLabels { route });
+        gauge.set(i64::from(demand.outstanding));
+    }
+    registry.register(
+        "route_outstanding",
+        "Outstanding requests of the whole fleet on a route",
+        outstanding,
+    );
+}
+
 fn add_gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
     let value = i64::try_from(value).unwrap_or(i64::MAX);
     registry.register(name, help, ConstGauge::new(value));
