--- a/src/core/steering/placement/mod.rs
+++ b/src/core/steering/placement/mod.rs
@@ -12,6 +12,7 @@
 };
 use smallvec::SmallVec;
 
+mod sampling;
 pub mod spill;
 
 use super::{
@@ -104,10 +105,10 @@
         if candidates.iter().any(|c| !avoid.contains(&c.tag)) {
             candidates.retain(|c| !avoid.contains(&c.tag));
         }
-        if self.prefers_local(&candidates) {
+        if self.prefers_local(service, &candidates) {
             candidates.retain(|c| c.is_local);
         }
-        Some((least_loaded(&candidates, rng)?, best))
+        Some((self.select(&mut candidates, rng)?, best))
     }
 
     fn candidates(&self, service: &ServiceId) -> SmallVec<[Candidate; 32]> {
@@ -176,13 +177,14 @@
         (1.0 + flows + WAITING_WEIGHT * waiting) / f64::from(entry.server.slots.max(1))
     }
 
-    fn prefers_local(&self, candidates: &[Candidate]) -> bool {
+    fn prefers_local(&self, service: &ServiceId, candidates: &[Candidate]) -> bool {
         let (local, remote): (Vec<&Candidate>, Vec<&Candidate>) =
             candidates.iter().partition(|c| c.is_local);
         if local.is_empty() || remote.is_empty() {
             return !local.is_empty();
         }
-        let (local, remote) = (mean_load(&local), mean_load(&remote));
+        let remote = mean_load(&remote).max(self.remote_demand(service));
+        let local = mean_load(&local);
         local <= SPILL_FLOOR.max(remote * SPILL_RATIO)
     }
 }
