Estimate the service time of backend servers from the responses to all VMs

Cause: with 70 VMs, one VM gets 0.1 responses per second from a backend server and discards them after 4 s, so it never knows which ones are slow or fast.

Change: each VM keeps decaying samples of the service time (response time less the handshake time, divided by the requests per slot) and reports them with its load, also for backend servers without flows, because flows with one request are closed before the next heartbeat.

--- /dev/null
+++ b/src/core/steering/capability/estimate.rs
@@ -0,0 +1,156 @@
+//! Estimates from the summed samples of a service.
+
+use smallvec::SmallVec;
+
+use super::{
+    super::tag::Tag,
+    ServiceTime, //
+};
+
+/// Number of samples from which a mean is used.
+const MIN_SAMPLES: u16 = 8;
+
+/// Bounds of the cost factor.
+const FACTOR_BOUNDS: [f64; 2] = [0.2, 10.0];
+
+/// Relative variance of one sample. A log-normal spread of 0.5 with 3 % of requests
+/// that take 7 times as long has 0.38 after the limit on samples.
+const SAMPLE_VARIANCE: f64 = 0.4;
+
+/// Variance of a mean that is rounded to milliseconds, in square milliseconds.
+const ROUNDING_VARIANCE_MS2: f64 = 1.0 / 12.0;
+
+/// Weight of the expected variance against the square of the measured deviation. A
+/// deviation of one standard error is reduced to a fifth, one of four to four fifths.
+const NOISE_WEIGHT: f64 = 4.0;
+
+/// Multiple of the current mean that a sample counts at most.
+const MAX_SAMPLE_RATIO: f64 = 3.0;
+
+/// Part of the median below which a response is no sample.
+const FAST_PART: f64 = 0.25;
+
+/// Median service time from which fast responses are distinguished from the
+/// variation of the network, in milliseconds.
+const MIN_MEDIAN_MS: f64 = 20.0;
+
+/// Number of recent responses that are required to judge a backend server.
+const MIN_ANSWERS: u16 = 8;
+
+/// Part of the recent responses of a backend server that may be fast.
+const MAX_FAST_PART: f64 = 0.5;
+
+/// Standard errors by which the part of fast responses must exceed the usual one of
+/// the service.
+const FAST_STANDARD_ERRORS: f64 = 3.0;
+
+/// Estimate for one backend server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Estimate {
+    /// Invariant: within [`FACTOR_BOUNDS`].
+    factor: f64,
+    /// Mean service time in milliseconds; the median of the service while it is not
+    /// known.
+    mean_ms: f64,
+    /// Median of the service in milliseconds.
+    median_ms: f64,
+    /// Whether it has [`MIN_SAMPLES`].
+    is_known: bool,
+}
+
+impl Estimate {
+    fn new(sum: &ServiceTime, median_ms: f64) -> Estimate {
+        let is_known = sum.samples >= MIN_SAMPLES;
+        let mean_ms = match is_known {
+            true => f64::from(sum.mean_ms).max(1.0),
+            false => median_ms,
+        };
+        let samples = f64::from(sum.samples.max(MIN_SAMPLES));
+        let factor = shrunk_ratio(mean_ms, median_ms, samples);
+        let [min, max] = FACTOR_BOUNDS;
+        Estimate {
+            factor: factor.clamp(min, max),
+            mean_ms,
+            median_ms,
+            is_known,
+        }
+    }
+
+    /// Returns whether enough samples are known.
+    pub(super) fn is_known(&self) -> bool {
+        self.is_known
+    }
+
+    /// Returns the cost factor.
+    pub(super) fn factor(&self) -> f64 {
+        self.factor
+    }
+
+    /// Returns the time in milliseconds below which a response is no sample. A
+    /// backend server that works faster than others also has faster responses.
+    pub(super) fn fast_below_ms(&self) -> f64 {
+        FAST_PART * self.median_ms * self.factor.min(1.0)
+    }
+
+    /// Returns the time in milliseconds that a sample counts at most, so that a heavy
+    /// tail does not decide the mean.
+    pub(super) fn sample_limit_ms(&self) -> f64 {
+        MAX_SAMPLE_RATIO * self.mean_ms
+    }
+}
+
+/// Returns the estimates for the backend servers of a service. Empty while none has
+/// [`MIN_SAMPLES`].
+pub(super) fn estimates(sums: &[(Tag, ServiceTime)]) -> impl Iterator<Item = (Tag, Estimate)> {
+    let median_ms = median_ms(sums).map(|m| m.max(1.0));
+    let estimate = move |(tag, sum): &(Tag, ServiceTime)| {
+        median_ms.map(|median_ms| (*tag, Estimate::new(sum, median_ms)))
+    };
+    sums.iter().filter_map(estimate)
+}
+
+/// Returns the backend servers whose recent responses are mostly too fast, and much
+/// more often than is usual in the service. Where requests of several kinds share a
+/// service, or all of its backend servers are full, many responses of all of them
+/// are fast.
+pub(super) fn too_fast(sums: &[(Tag, ServiceTime)]) -> impl Iterator<Item = Tag> {
+    let may_judge = median_ms(sums).is_some_and(|m| m >= MIN_MEDIAN_MS);
+    let parts = sums.iter().filter_map(|(_, sum)| fast_part(sum));
+    let usual = median(parts.collect()).unwrap_or(0.0);
+    let is_too_fast = move |sum: &ServiceTime| {
+        let error = (usual * (1.0 - usual) / f64::from(sum.answers)).sqrt();
+        let limit = MAX_FAST_PART.max(usual + FAST_STANDARD_ERRORS * error);
+        fast_part(sum).is_some_and(|part| part > limit)
+    };
+    let judged = sums.iter().filter(move |_| may_judge);
+    let found = judged.filter(move |(_, sum)| is_too_fast(sum));
+    found.map(|(tag, _)| *tag)
+}
+
+/// Returns the part of the recent responses that were fast.
+fn fast_part(sum: &ServiceTime) -> Option<f64> {
+    let part = || f64::from(sum.fast) / f64::from(sum.answers);
+    (sum.answers >= MIN_ANSWERS).then(part)
+}
+
+/// Returns the ratio of a mean of `samples` samples to the median, shrunk toward 1 as
+/// far as it may be due to chance.
+fn shrunk_ratio(mean_ms: f64, median_ms: f64, samples: f64) -> f64 {
+    let deviation = (mean_ms / median_ms).ln();
+    if deviation == 0.0 {
+        return 1.0;
+    }
+    let variance = SAMPLE_VARIANCE / samples + ROUNDING_VARIANCE_MS2 / mean_ms.powi(2);
+    let square = deviation.powi(2);
+    (deviation * square / (square + NOISE_WEIGHT * variance)).exp()
+}
+
+fn median_ms(sums: &[(Tag, ServiceTime)]) -> Option<f64> {
+    let known = sums.iter().filter(|(_, s)| s.samples >= MIN_SAMPLES);
+    median(known.map(|(_, s)| f64::from(s.mean_ms)).collect())
+}
+
+fn median(mut values: SmallVec<[f64; 32]>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
--- /dev/null
+++ b/src/core/steering/capability/samples.rs
@@ -0,0 +1,97 @@
+//! Responses of one backend server to this VM.
+
+use smallvec::SmallVec;
+
+use super::ServiceTime;
+use crate::kernel::clock::{
+    Millis,
+    Time, //
+};
+
+/// Time after which a sample has half its weight.
+const HALF_LIFE: Millis = Millis::from_secs(4);
+
+/// Weight below which a sample is not reported, because the reports are in whole
+/// samples.
+const MIN_WEIGHT: f64 = 0.5;
+
+/// Number of latest responses that are checked for being too fast.
+const RECENT_ANSWERS: usize = 8;
+
+/// How long a response counts as recent. A backend server of a service that is worth
+/// judging gets some ten requests in this time.
+const RECENT_TIME: Millis = Millis(1_000);
+
+/// A recent response.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    at: Time,
+    is_fast: bool,
+}
+
+/// Samples of the service time of one backend server, the latest with the most
+/// weight.
+#[derive(Debug, Default)]
+pub(super) struct Samples {
+    /// Sum of the weights, as of `updated`.
+    weight: f64,
+    /// Weighted sum of the samples in milliseconds, as of `updated`.
+    sum_ms: f64,
+    updated: Time,
+    /// Invariant: oldest first, at most [`RECENT_ANSWERS`].
+    recent: SmallVec<[Answer; RECENT_ANSWERS]>,
+}
+
+impl Samples {
+    /// Adds a sample of the service time.
+    pub(super) fn add(&mut self, service_ms: f64, now: Time) {
+        let decay = self.decay(now);
+        self.weight = self.weight * decay + 1.0;
+        self.sum_ms = self.sum_ms * decay + service_ms;
+        self.updated = now;
+    }
+
+    /// Records whether a response was too fast to be a sample.
+    pub(super) fn record_answer(&mut self, is_fast: bool, now: Time) {
+        if self.recent.len() == RECENT_ANSWERS {
+            self.recent.remove(0);
+        }
+        self.recent.push(Answer { at: now, is_fast });
+    }
+
+    /// Returns the sum of the samples for other VMs.
+    pub(super) fn report(&self, now: Time) -> ServiceTime {
+        let recent = self.recent.iter().filter(|a| is_recent(a, now));
+        let mut report = ServiceTime::default();
+        for answer in recent {
+            report.answers += 1;
+            report.fast += u16::from(answer.is_fast);
+        }
+        let weight = self.weight * self.decay(now);
+        if weight < MIN_WEIGHT {
+            return report;
+        }
+        report.samples = weight.round().min(f64::from(u16::MAX)) as u16;
+        report.mean_ms = (self.sum_ms / self.weight).round().min(f64::from(u16::MAX)) as u16;
+        report
+    }
+
+    /// Returns when the last response arrived.
+    pub(super) fn last(&self) -> Time {
+        self.recent.last().map_or(self.updated, |a| a.at)
+    }
+
+    /// Returns whether nothing is left to report.
+    pub(super) fn is_expired(&self, now: Time) -> bool {
+        self.report(now) == ServiceTime::default()
+    }
+
+    fn decay(&self, now: Time) -> f64 {
+        let age = now.since(self.updated);
+        (-(age.0 as f64) / HALF_LIFE.0 as f64).exp2()
+    }
+}
+
+fn is_recent(answer: &Answer, now: Time) -> bool {
+    now.since(answer.at) < RECENT_TIME
+}
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -86,6 +86,11 @@
         /// Backend server.
         tag: Tag,
     },
+    /// A backend server responds far too fast; others are preferred for new flows.
+    ResponsesTooFast {
+        /// Backend server.
+        tag: Tag,
+    },
     /// A backend server was declared dead.
     BackendDead {
         /// Backend server.
@@ -185,6 +190,7 @@
             Decision::FlowReset { .. } => Notice::FlowReset,
             Decision::PacketDropped { .. } => Notice::PacketDropped,
             Decision::HandshakesFailing { .. } => Notice::HandshakesFailing,
+            Decision::ResponsesTooFast { .. } => Notice::ResponsesTooFast,
             Decision::BackendDead { .. } => Notice::BackendDead,
             Decision::BackendRevived { .. } => Notice::BackendRevived,
             Decision::BackendEnded { .. } => Notice::BackendEnded,
--- a/src/core/steering/directory.rs
+++ b/src/core/steering/directory.rs
@@ -106,6 +106,12 @@
         self.pools.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Iterates over the backend servers of each service in arbitrary order of the
+    /// services.
+    pub fn pools(&self) -> impl Iterator<Item = &[Tag]> {
+        self.pools.values().map(Vec::as_slice)
+    }
+
     /// Iterates over all backend servers in arbitrary order.
     pub fn iter(&self) -> impl Iterator<Item = (Tag, &Entry)> {
         self.entries.iter().map(|(tag, entry)| (*tag, entry))
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -5,7 +5,6 @@
 use super::{
     Action,
     Steering,
-    capability::ServiceTime,
     decision::{
         Decision,
         Source, //
@@ -138,7 +137,7 @@
             waiting: load.waiting,
             stalled: self.stalls.stalled_flows(tag),
             is_answering: self.stalls.is_answering(tag, now),
-            service_time: ServiceTime::default(),
+            service_time: self.capability.report(tag, now),
         };
         Heartbeat {
             vm: self.me.vm.clone(),
@@ -151,7 +150,12 @@
             reaches_store: self.store_answers(),
             kind_reports: self.sync.reports(now),
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
-            loads: self.flows.loads().map(load).collect(),
+            loads: self
+                .flows
+                .loads()
+                .chain(self.sampled_idle())
+                .map(load)
+                .collect(),
             routes: Vec::new(),
             paths: Vec::new(),
             dead: self.detector.dead_or_unconfirmed().collect(),
--- a/src/core/steering/flow.rs
+++ b/src/core/steering/flow.rs
@@ -42,6 +42,8 @@
         tag: Tag,
         /// Response time, if the packet shows it.
         elapsed: Option<Millis>,
+        /// Requests outstanding at the backend server when this one was sent.
+        outstanding: u32,
     },
     /// It did not answer: the client retransmits.
     Retransmitted {
@@ -73,6 +75,8 @@
     pub(super) retransmits: u8,
     /// When the unanswered data was first forwarded.
     pub(super) waiting_since: Time,
+    /// Requests outstanding at the backend server then, this one included.
+    pub(super) outstanding: u32,
     /// When data was last forwarded.
     pub(super) forwarded_at: Time,
     pub(super) opened_at: Time,
@@ -114,6 +118,7 @@
             next_seq: None,
             retransmits: 0,
             waiting_since: now,
+            outstanding: 0,
             forwarded_at: now,
             opened_at: now,
             last_seen: now,
@@ -143,8 +148,11 @@
         }
         let is_retransmit = self.record_data(packet, now);
         if is_answered {
-            let tag = self.tag;
-            return BackendSignal::Answered { tag, elapsed };
+            return BackendSignal::Answered {
+                tag: self.tag,
+                elapsed,
+                outstanding: self.outstanding,
+            };
         }
         if is_retransmit {
             self.retransmits = self.retransmits.saturating_add(1);
--- a/src/core/steering/flow_resets.rs
+++ b/src/core/steering/flow_resets.rs
@@ -24,6 +24,7 @@
         for ended in self.directory.take_ended() {
             let (EndedBackend::Gone(tag) | EndedBackend::Restarted(tag)) = ended;
             self.detector.remove(tag);
+            self.capability.forget(tag, now);
             let flows = self.reset_flows(tag, ResetReason::BackendGone, now);
             self.decisions.push(Decision::BackendEnded { tag, flows });
         }
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -146,6 +146,15 @@
         signal
     }
 
+    /// Records how many requests were outstanding at the backend server when a client
+    /// sent the one that starts now, if any.
+    pub fn record_outstanding(&mut self, id: &FlowId, outstanding: u32, now: Time) {
+        let flow = self.flows.get_mut(id);
+        if let Some(flow) = flow.filter(|f| f.is_waiting && f.waiting_since == now) {
+            flow.outstanding = outstanding;
+        }
+    }
+
     /// Restores a flow from a replica of an earlier run.
     pub fn restore(&mut self, record: &FlowRecord, now: Time) {
         let Some(tag) = record.tag else {
--- a/src/core/steering/handshakes.rs
+++ b/src/core/steering/handshakes.rs
@@ -109,6 +109,12 @@
         *mean_ms += SMOOTHING_FACTOR * (elapsed - *mean_ms);
     }
 
+    /// Returns the mean handshake time in milliseconds; `None` before the first
+    /// handshake.
+    pub fn mean_ms(&self) -> Option<f64> {
+        self.mean_ms
+    }
+
     /// Returns whether a backend server rejects new flows or leaves them
     /// unanswered.
     pub fn is_failing(&self, tag: Tag, now: Time) -> bool {
--- a/src/core/steering/hubs.rs
+++ b/src/core/steering/hubs.rs
@@ -63,6 +63,11 @@
         !missing.any(|(address, k)| self.may_be_local_hub(*address, k.contact.as_ref()))
     }
 
+    /// Returns whether all VMs exchange heartbeats with each other.
+    pub fn is_full_mesh(&self) -> bool {
+        self.known.len() <= MAX_FULL_MESH
+    }
+
     fn may_be_local_hub(&self, address: SocketAddrV4, contact: Option<&Contact>) -> bool {
         let Some(contact) = contact else {
             return true;
@@ -99,7 +104,7 @@
     pub(super) fn select_neighbours(&mut self, now: Time) {
         self.next_selection = now + SELECTION_INTERVAL;
         self.known.retain(|_, k| now.since(k.heard) < FORGET_AFTER);
-        if self.known.len() <= MAX_FULL_MESH {
+        if self.is_full_mesh() {
             self.is_hub = true;
             self.neighbours = self.known.keys().copied().collect();
             return;
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -65,6 +65,7 @@
 mod takeover;
 
 pub use action::Action;
+use capability::Capability;
 use cold::ColdBudget;
 use cold_grants::{
     ColdAssignments,
@@ -136,6 +137,7 @@
     cold_assignments: ColdAssignments,
     cold_grants: HeldGrants,
     response_times: ResponseTimes,
+    capability: Capability,
     stalls: Stalls,
     handshakes: Handshakes,
     unlisted: UnlistedTags,
@@ -190,6 +192,7 @@
             cold_assignments: ColdAssignments::default(),
             cold_grants: HeldGrants::default(),
             response_times: ResponseTimes::default(),
+            capability: Capability::default(),
             stalls: Stalls::default(),
             handshakes: Handshakes::default(),
             unlisted: UnlistedTags::default(),
@@ -275,6 +278,7 @@
         self.replicate(now);
         self.request_unknown(now);
         self.update_stalls(now);
+        self.update_capability(now);
         if self.cold_assignments.is_due(now) {
             self.assign_cold(now);
         }
@@ -328,6 +332,8 @@
             waiting: self.flows.waiting(),
             backends: self.available_backends(now).count(),
             dead: self.detector.dead().count(),
+            estimated: self.capability.estimated(),
+            too_fast: self.capability.doubtful(now),
             replicas: self.replicas.len(),
             peers: self.peers.live(now).count(),
             era: self.sync.era().unwrap_or_default(),
--- a/src/core/steering/placement/mod.rs
+++ b/src/core/steering/placement/mod.rs
@@ -16,6 +16,7 @@
 
 use super::{
     Identity,
+    capability::Capability,
     cold::{
         ColdBudget,
         DISCOVERY_TIME, //
@@ -65,6 +66,8 @@
     pub remote_loads: &'a RemoteLoads,
     /// Response times of the backend servers.
     pub response_times: &'a ResponseTimes,
+    /// Service times of the backend servers in a large fleet.
+    pub capability: &'a Capability,
     /// Backend servers that answer no request.
     pub stalls: &'a Stalls,
     /// Backend servers that reject new flows or leave them unanswered.
@@ -112,7 +115,8 @@
 
     fn candidates(&self, service: &ServiceId) -> SmallVec<[Candidate; 32]> {
         let pool = self.directory.pool(service);
-        let slowness = self.response_times.slowness(pool, self.now);
+        let slowness = || self.response_times.slowness(pool, self.now);
+        let slowness = self.capability.factors(pool).unwrap_or_else(slowness);
         let stalled = self.stalls.avoided(pool, self.now);
         pool.iter()
             .zip(slowness)
@@ -124,6 +128,7 @@
         let entry = self.directory.entry(tag)?;
         let fitness = match self.fitness(tag, entry) {
             Fitness::Ready if stalled.contains(&tag) => Fitness::Doubtful,
+            Fitness::Ready if self.capability.is_doubtful(tag, self.now) => Fitness::Doubtful,
             fitness => fitness,
         };
         (fitness < Fitness::Unfit).then(|| Candidate {
--- a/src/core/steering/stats.rs
+++ b/src/core/steering/stats.rs
@@ -19,6 +19,10 @@
     pub backends: usize,
     /// Number of backend servers found dead.
     pub dead: usize,
+    /// Number of backend servers whose service time is known; zero in a full mesh.
+    pub estimated: usize,
+    /// Number of backend servers that respond far too fast.
+    pub too_fast: usize,
     /// Number of flow replicas of other VMs.
     pub replicas: usize,
     /// Number of peers that are heard.
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -152,6 +152,7 @@
             flows: &self.flows,
             remote_loads: &self.remote_loads,
             response_times: &self.response_times,
+            capability: &self.capability,
             stalls: &self.stalls,
             handshakes: &self.handshakes,
             cold_budget: &self.cold_budget,
@@ -176,6 +177,7 @@
         match verdict {
             Verdict::Forward(_) => {
                 let signal = self.flows.observe(packet, tag, closes || rejects, now);
+                self.record_request(packet, tag, now);
                 self.record_signal(signal, packet, now);
                 if self.detector.health(tag) == HealthState::Dead {
                     self.detector.request_probe(tag);
@@ -226,11 +228,16 @@
                 let client = *packet.flow.client.ip();
                 self.handshakes.record_success(client, tag, elapsed);
             }
-            BackendSignal::Answered { tag, elapsed } => {
+            BackendSignal::Answered {
+                tag,
+                elapsed,
+                outstanding,
+            } => {
                 self.detector.mark_alive(tag, now);
                 self.stalls.record_answer(tag, now);
                 if let Some(elapsed) = elapsed {
                     self.response_times.record(tag, elapsed, now);
+                    self.record_service_time(tag, elapsed, outstanding, now);
                     self.response_samples.push(elapsed);
                 }
             }
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -113,7 +113,9 @@
             let (silent, repeats) = (evidence.retransmitting_flows, evidence.max_retransmits);
             log_decision!(decision, backend = %tag, silent, repeats, probe, reported = evidence.reported, unopened = evidence.unopened, flows);
         }
-        Decision::HandshakesFailing { tag } => log_decision!(decision, backend = %tag),
+        Decision::HandshakesFailing { tag } | Decision::ResponsesTooFast { tag } => {
+            log_decision!(decision, backend = %tag);
+        }
         Decision::BackendRevived { tag } => log_decision!(decision, backend = %tag),
         Decision::BackendEnded { tag, flows } => log_decision!(decision, backend = %tag, flows),
         Decision::StoreUpdateApplied {
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -241,6 +241,16 @@
             "Backend servers held for dead",
             stats.dead as u64,
         ),
+        (
+            "backends_estimated",
+            "Backend servers whose service time is known",
+            stats.estimated as u64,
+        ),
+        (
+            "backends_too_fast",
+            "Backend servers that respond far too fast",
+            stats.too_fast as u64,
+        ),
         (
             "replicas",
             "Flows of other VMs that are known here",
