Notice a sudden slowdown by the recent responses, and limit the first samples

Change: responses beyond the limit are counted among the recent ones, as the fast ones are. Where they are the majority, the factor is at least 3. Samples from before the median was known are limited once it is.

--- a/src/core/steering/capability/estimate.rs
+++ b/src/core/steering/capability/estimate.rs
@@ -10,6 +10,10 @@
 /// Number of samples from which a mean is used.
 const MIN_SAMPLES: u16 = 8;
 
+/// Number of backend servers with a sample from which the median of their means is
+/// used at the start. Fewer may all be of the heavy tail.
+const MIN_FIRST_MEANS: usize = 3;
+
 /// Bounds of the cost factor.
 const FACTOR_BOUNDS: [f64; 2] = [0.2, 10.0];
 
@@ -20,9 +24,9 @@
 /// Variance of a mean that is rounded to milliseconds, in square milliseconds.
 const ROUNDING_VARIANCE_MS2: f64 = 1.0 / 12.0;
 
-/// Weight of the expected variance against the square of the measured deviation. A
-/// deviation of one standard error is reduced to a fifth, one of four to four fifths.
-const NOISE_WEIGHT: f64 = 4.0;
+/// Standard errors of a deviation from the median that counts by half. A smaller one
+/// is mostly chance and counts much less, a larger one almost fully.
+const HALF_STANDARD_ERRORS: f64 = 3.0;
 
 /// Multiple of the current mean that a sample counts at most.
 const MAX_SAMPLE_RATIO: f64 = 3.0;
@@ -37,12 +41,12 @@
 /// Number of recent responses that are required to judge a backend server.
 const MIN_ANSWERS: u16 = 8;
 
-/// Part of the recent responses of a backend server that may be fast.
-const MAX_FAST_PART: f64 = 0.5;
+/// Part of the recent responses of a backend server that may be far off.
+const MAX_OFF_PART: f64 = 0.5;
 
-/// Standard errors by which the part of fast responses must exceed the usual one of
-/// the service.
-const FAST_STANDARD_ERRORS: f64 = 3.0;
+/// Standard errors by which the part of responses that are far off must exceed the
+/// usual one of the service.
+const OFF_STANDARD_ERRORS: f64 = 3.0;
 
 /// Estimate for one backend server.
 #[derive(Clone, Copy, Debug)]
@@ -99,38 +103,50 @@
     }
 }
 
-/// Returns the estimates for the backend servers of a service. Empty while none has
-/// [`MIN_SAMPLES`].
-pub(super) fn estimates(sums: &[(Tag, ServiceTime)]) -> impl Iterator<Item = (Tag, Estimate)> {
-    let median_ms = median_ms(sums).map(|m| m.max(1.0));
-    let estimate = move |(tag, sum): &(Tag, ServiceTime)| {
-        median_ms.map(|median_ms| (*tag, Estimate::new(sum, median_ms)))
+/// Returns the estimates for the backend servers of a service. Empty while its median
+/// is not known.
+///
+/// A mean follows a sudden change within its half-life. Where most of the recent
+/// responses exceed the limit on samples, the mean is at least at that limit.
+pub(super) fn estimates(sums: &[(Tag, ServiceTime)]) -> Vec<(Tag, Estimate)> {
+    let Some(median_ms) = median_ms(sums) else {
+        return Vec::new();
+    };
+    let median_ms = median_ms.max(1.0);
+    let slow = far_off(sums, |sum| sum.slow);
+    let estimate = |(tag, sum): &(Tag, ServiceTime)| {
+        let mut estimate = Estimate::new(sum, median_ms);
+        if slow.contains(tag) {
+            estimate.factor = estimate.factor.max(MAX_SAMPLE_RATIO);
+        }
+        (*tag, estimate)
     };
-    sums.iter().filter_map(estimate)
+    sums.iter().map(estimate).collect()
 }
 
-/// Returns the backend servers whose recent responses are mostly too fast, and much
-/// more often than is usual in the service. Where requests of several kinds share a
-/// service, or all of its backend servers are full, many responses of all of them
-/// are fast.
-pub(super) fn too_fast(sums: &[(Tag, ServiceTime)]) -> impl Iterator<Item = Tag> {
-    let may_judge = median_ms(sums).is_some_and(|m| m >= MIN_MEDIAN_MS);
-    let parts = sums.iter().filter_map(|(_, sum)| fast_part(sum));
+/// Returns the backend servers whose recent responses are mostly too fast.
+pub(super) fn too_fast(sums: &[(Tag, ServiceTime)]) -> Vec<Tag> {
+    match median_ms(sums).is_some_and(|m| m >= MIN_MEDIAN_MS) {
+        true => far_off(sums, |sum| sum.fast),
+        false => Vec::new(),
+    }
+}
+
+/// Returns the backend servers whose recent responses are mostly far off in one
+/// direction, and much more often than is usual in the service. Where requests of
+/// several kinds share a service, or all of its backend servers are full, many
+/// responses of all of them are.
+fn far_off(sums: &[(Tag, ServiceTime)], count: impl Fn(&ServiceTime) -> u16) -> Vec<Tag> {
+    let judged = sums.iter().filter(|(_, sum)| sum.answers >= MIN_ANSWERS);
+    let part = |sum: &ServiceTime| f64::from(count(sum)) / f64::from(sum.answers);
+    let parts = judged.clone().map(|(_, sum)| part(sum));
     let usual = median(parts.collect()).unwrap_or(0.0);
-    let is_too_fast = move |sum: &ServiceTime| {
+    let is_far_off = |sum: &ServiceTime| {
         let error = (usual * (1.0 - usual) / f64::from(sum.answers)).sqrt();
-        let limit = MAX_FAST_PART.max(usual + FAST_STANDARD_ERRORS * error);
-        fast_part(sum).is_some_and(|part| part > limit)
+        part(sum) > MAX_OFF_PART.max(usual + OFF_STANDARD_ERRORS * error)
     };
-    let judged = sums.iter().filter(move |_| may_judge);
-    let found = judged.filter(move |(_, sum)| is_too_fast(sum));
-    found.map(|(tag, _)| *tag)
-}
-
-/// Returns the part of the recent responses that were fast.
-fn fast_part(sum: &ServiceTime) -> Option<f64> {
-    let part = || f64::from(sum.fast) / f64::from(sum.answers);
-    (sum.answers >= MIN_ANSWERS).then(part)
+    let found = judged.filter(|(_, sum)| is_far_off(sum));
+    found.map(|(tag, _)| *tag).collect()
 }
 
 /// Returns the ratio of a mean of `samples` samples to the median, shrunk toward 1 as
@@ -141,13 +157,20 @@
         return 1.0;
     }
     let variance = SAMPLE_VARIANCE / samples + ROUNDING_VARIANCE_MS2 / mean_ms.powi(2);
-    let square = deviation.powi(2);
-    (deviation * square / (square + NOISE_WEIGHT * variance)).exp()
+    let certainty = (deviation.powi(2) / variance).powi(2);
+    (deviation * certainty / (certainty + HALF_STANDARD_ERRORS.powi(4))).exp()
 }
 
+/// Returns the median service time of a service in milliseconds. Until a backend
+/// server has [`MIN_SAMPLES`], it is that of the first samples.
 fn median_ms(sums: &[(Tag, ServiceTime)]) -> Option<f64> {
-    let known = sums.iter().filter(|(_, s)| s.samples >= MIN_SAMPLES);
-    median(known.map(|(_, s)| f64::from(s.mean_ms)).collect())
+    let means = |min_samples: u16| {
+        let known = sums.iter().filter(|(_, s)| s.samples >= min_samples);
+        let means: SmallVec<[f64; 32]> = known.map(|(_, s)| f64::from(s.mean_ms)).collect();
+        means
+    };
+    let first = || Some(means(1)).filter(|first| first.len() >= MIN_FIRST_MEANS);
+    median(means(MIN_SAMPLES)).or_else(|| median(first()?))
 }
 
 fn median(mut values: SmallVec<[f64; 32]>) -> Option<f64> {
--- a/src/core/steering/capability/mod.rs
+++ b/src/core/steering/capability/mod.rs
@@ -16,7 +16,10 @@
 pub mod service_time;
 
 use estimate::Estimate;
-use samples::Samples;
+use samples::{
+    Samples,
+    Speed, //
+};
 pub use service_time::ServiceTime;
 
 use super::tag::Tag;
@@ -88,16 +91,19 @@
     pub fn record(&mut self, response: &Response, now: Time) {
         let estimate = self.estimates.get(&response.tag);
         let processing_ms = (response.elapsed.0 as f64 - response.network_ms).max(0.0);
-        let is_fast = estimate.is_some_and(|e| processing_ms < e.fast_below_ms());
-        let samples = self.samples.entry(response.tag).or_default();
-        samples.record_answer(is_fast, now);
-        if is_fast {
-            return;
-        }
         let requests_per_slot = f64::from(response.outstanding) / f64::from(response.slots.max(1));
         let service_ms = processing_ms / requests_per_slot.max(1.0);
-        let limit = estimate.map_or(f64::MAX, Estimate::sample_limit_ms);
-        samples.add(service_ms.min(limit), now);
+        let limit_ms = estimate.map_or(f64::MAX, Estimate::sample_limit_ms);
+        let speed = match estimate {
+            Some(e) if processing_ms < e.fast_below_ms() => Speed::Fast,
+            _ if service_ms > limit_ms => Speed::Slow,
+            _ => Speed::Usual,
+        };
+        let samples = self.samples.entry(response.tag).or_default();
+        samples.record_answer(speed, now);
+        if speed != Speed::Fast {
+            samples.add(service_ms.min(limit_ms), now);
+        }
     }
 
     /// Returns the samples of this VM for one backend server.
@@ -174,12 +180,18 @@
         self.samples.retain(|_, s| !s.is_expired(now));
         self.ended.retain(|_, until| now < *until);
         self.doubtful.retain(|_, until| now < *until);
-        self.estimates.clear();
+        let before = std::mem::take(&mut self.estimates);
         let mut found = Vec::new();
         for pool in pools {
             let sum = |tag: &Tag| (*tag, self.sum(*tag, &others, now));
             let sums: Vec<(Tag, ServiceTime)> = pool.iter().map(sum).collect();
-            self.estimates.extend(estimate::estimates(&sums));
+            for (tag, estimate) in estimate::estimates(&sums) {
+                let samples = self.samples.get_mut(&tag);
+                if let Some(samples) = samples.filter(|_| !before.contains_key(&tag)) {
+                    samples.limit(estimate.sample_limit_ms());
+                }
+                self.estimates.insert(tag, estimate);
+            }
             for tag in estimate::too_fast(&sums) {
                 if self.doubtful.insert(tag, now + DOUBT_TIME).is_none() {
                     found.push(tag);
--- a/src/core/steering/capability/samples.rs
+++ b/src/core/steering/capability/samples.rs
@@ -15,18 +15,29 @@
 /// samples.
 const MIN_WEIGHT: f64 = 0.5;
 
-/// Number of latest responses that are checked for being too fast.
+/// Number of latest responses that are checked for being far off.
 const RECENT_ANSWERS: usize = 8;
 
 /// How long a response counts as recent. A backend server of a service that is worth
 /// judging gets some ten requests in this time.
 const RECENT_TIME: Millis = Millis(1_000);
 
+/// How a response compares with the mean.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Speed {
+    /// Too fast to be a sample.
+    Fast,
+    /// Usual.
+    Usual,
+    /// Limited as a sample.
+    Slow,
+}
+
 /// A recent response.
 #[derive(Clone, Copy, Debug)]
 struct Answer {
     at: Time,
-    is_fast: bool,
+    speed: Speed,
 }
 
 /// Samples of the service time of one backend server, the latest with the most
@@ -51,12 +62,17 @@
         self.updated = now;
     }
 
-    /// Records whether a response was too fast to be a sample.
-    pub(super) fn record_answer(&mut self, is_fast: bool, now: Time) {
+    /// Limits the mean of samples that were added before a limit was known.
+    pub(super) fn limit(&mut self, limit_ms: f64) {
+        self.sum_ms = self.sum_ms.min(self.weight * limit_ms);
+    }
+
+    /// Records a response, a sample or not.
+    pub(super) fn record_answer(&mut self, speed: Speed, now: Time) {
         if self.recent.len() == RECENT_ANSWERS {
             self.recent.remove(0);
         }
-        self.recent.push(Answer { at: now, is_fast });
+        self.recent.push(Answer { at: now, speed });
     }
 
     /// Returns the sum of the samples for other VMs.
@@ -65,7 +81,8 @@
         let mut report = ServiceTime::default();
         for answer in recent {
             report.answers += 1;
-            report.fast += u16::from(answer.is_fast);
+            report.fast += u16::from(answer.speed == Speed::Fast);
+            report.slow += u16::from(answer.speed == Speed::Slow);
         }
         let weight = self.weight * self.decay(now);
         if weight < MIN_WEIGHT {
