--- a/src/core/steering/capability/exchange.rs
+++ b/src/core/steering/capability/exchange.rs
@@ -1,7 +1,5 @@
 //! Samples from the flows of this VM, and their exchange with other VMs.
 
-use hashbrown::HashMap;
-
 use super::{
     super::{
         Steering,
@@ -10,8 +8,7 @@
         packet::Packet,
         tag::Tag, //
     },
-    Response,
-    ServiceTime, //
+    Response, //
 };
 use crate::kernel::clock::{
     Millis,
@@ -66,8 +63,7 @@
         if !self.capability.is_due(now) {
             return;
         }
-        let heard = self.heard_service_times(now);
-        let others = |tag| heard.get(&tag).copied().unwrap_or_default();
+        let others = |tag| self.remote_loads.load(tag).service_time;
         let found = self.capability.update(self.directory.pools(), others, now);
         let decisions = found
             .into_iter()
@@ -75,15 +71,6 @@
         self.decisions.extend(decisions);
     }
 
-    /// Returns the samples in the heartbeats of other VMs.
-    fn heard_service_times(&self, now: Time) -> HashMap<Tag, ServiceTime> {
-        let mut sums: HashMap<Tag, ServiceTime> = HashMap::new();
-        for load in self.peers.live(now).flat_map(|m| &m.heartbeat.loads) {
-            sums.entry(load.tag).or_default().merge(load.service_time);
-        }
-        sums
-    }
-
     /// Returns the backend servers without flows of this VM that are reported for
     /// their samples.
     pub(in super::super) fn sampled_idle(&self) -> impl Iterator<Item = (Tag, Load)> {
--- a/src/core/steering/hubs.rs
+++ b/src/core/steering/hubs.rs
@@ -53,6 +53,11 @@
         self.is_hub
     }
 
+    /// Returns whether all VMs exchange heartbeats with each other.
+    pub fn is_full_mesh(&self) -> bool {
+        self.known.len() <= MAX_FULL_MESH
+    }
+
     /// Returns whether all other VMs of this data centre that may be hubs are
     /// heard: selected ones, and those that rank before this VM. Those that were
     /// silent for longer than `MISSING_FOR` do not count. A peer of unknown
@@ -63,11 +68,6 @@
         !missing.any(|(address, k)| self.may_be_local_hub(*address, k.contact.as_ref()))
     }
 
-    /// Returns whether all VMs exchange heartbeats with each other.
-    pub fn is_full_mesh(&self) -> bool {
-        self.known.len() <= MAX_FULL_MESH
-    }
-
     fn may_be_local_hub(&self, address: SocketAddrV4, contact: Option<&Contact>) -> bool {
         let Some(contact) = contact else {
             return true;
