Hold back samples that cannot be limited yet; test whole VMs

Change: a VM reports samples once it knows the median, or after 2 s. Six responses in a second suffice to judge. The time below which a response is no sample follows the backend server's own mean.

--- a/src/core/steering/capability/estimate.rs
+++ b/src/core/steering/capability/estimate.rs
@@ -38,8 +38,9 @@
 /// variation of the network, in milliseconds.
 const MIN_MEDIAN_MS: f64 = 20.0;
 
-/// Number of recent responses that are required to judge a backend server.
-const MIN_ANSWERS: u16 = 8;
+/// Number of recent responses that are required to judge a backend server. One that
+/// gets 11 requests per second often gets no 8 in a given second.
+const MIN_ANSWERS: u16 = 6;
 
 /// Part of the recent responses of a backend server that may be far off.
 const MAX_OFF_PART: f64 = 0.5;
@@ -93,7 +94,8 @@
     /// Returns the time in milliseconds below which a response is no sample. A
     /// backend server that works faster than others also has faster responses.
     pub(super) fn fast_below_ms(&self) -> f64 {
-        FAST_PART * self.median_ms * self.factor.min(1.0)
+        let [min, max] = [FACTOR_BOUNDS[0] * self.median_ms, self.median_ms];
+        FAST_PART * self.mean_ms.clamp(min, max)
     }
 
     /// Returns the time in milliseconds that a sample counts at most, so that a heavy
--- a/src/core/steering/capability/mod.rs
+++ b/src/core/steering/capability/mod.rs
@@ -36,6 +36,9 @@
 /// 1.25 s old.
 const RESTART_SETTLE_TIME: Millis = Millis(2_500);
 
+/// How long the first samples are held back if no median becomes known.
+const HOLD_TIME: Millis = Millis(2_000);
+
 /// How long a backend server that responds too fast gets no new flow while others
 /// are left.
 const DOUBT_TIME: Millis = Millis::from_secs(2);
@@ -99,16 +102,22 @@
             _ if service_ms > limit_ms => Speed::Slow,
             _ => Speed::Usual,
         };
-        let samples = self.samples.entry(response.tag).or_default();
+        let samples = self
+            .samples
+            .entry(response.tag)
+            .or_insert_with(|| Samples::open(now));
         samples.record_answer(speed, now);
         if speed != Speed::Fast {
             samples.add(service_ms.min(limit_ms), now);
         }
     }
 
-    /// Returns the samples of this VM for one backend server.
+    /// Returns the samples of this VM for one backend server. The first ones are held
+    /// back until they can be limited.
     pub fn report(&self, tag: Tag, now: Time) -> ServiceTime {
-        let samples = self.samples.get(&tag);
+        let is_limited = self.estimates.contains_key(&tag);
+        let may_report = |s: &&Samples| is_limited || now.since(s.first()) >= HOLD_TIME;
+        let samples = self.samples.get(&tag).filter(may_report);
         samples.map_or(ServiceTime::default(), |s| s.report(now))
     }
 
@@ -202,7 +211,8 @@
     }
 
     fn sum(&self, tag: Tag, others: impl Fn(Tag) -> ServiceTime, now: Time) -> ServiceTime {
-        let mut sum = self.report(tag, now);
+        let own = self.samples.get(&tag);
+        let mut sum = own.map_or(ServiceTime::default(), |s| s.report(now));
         if !self.ended.contains_key(&tag) {
             sum.merge(others(tag));
         }
--- a/src/core/steering/capability/samples.rs
+++ b/src/core/steering/capability/samples.rs
@@ -42,8 +42,9 @@
 
 /// Samples of the service time of one backend server, the latest with the most
 /// weight.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Samples {
+    first: Time,
     /// Sum of the weights, as of `updated`.
     weight: f64,
     /// Weighted sum of the samples in milliseconds, as of `updated`.
@@ -54,6 +55,22 @@
 }
 
 impl Samples {
+    /// Creates an empty record.
+    pub(super) fn open(now: Time) -> Samples {
+        Samples {
+            first: now,
+            weight: 0.0,
+            sum_ms: 0.0,
+            updated: now,
+            recent: SmallVec::new(),
+        }
+    }
+
+    /// Returns when the first response arrived.
+    pub(super) fn first(&self) -> Time {
+        self.first
+    }
+
     /// Adds a sample of the service time.
     pub(super) fn add(&mut self, service_ms: f64, now: Time) {
         let decay = self.decay(now);
