--- a/src/core/steering/placement/mod.rs
+++ b/src/core/steering/placement/mod.rs
@@ -8,11 +8,11 @@
 
 use rand::{
     Rng,
-    rngs::SmallRng,
-    seq::SliceRandom, //
+    rngs::SmallRng, //
 };
 use smallvec::SmallVec;
 
+mod sampling;
 pub mod spill;
 
 use super::{
@@ -50,10 +50,6 @@
 /// Weight of a waiting client relative to an idle flow.
 const WAITING_WEIGHT: f64 = 3.0;
 
-/// Candidates drawn where many VMs decide by the same sums. They would all choose
-/// the same backend server if each compared all of them.
-const SAMPLES: usize = 3;
-
 /// Inputs of a placement.
 pub struct Placement<'a> {
     /// This VM, which is in the data centre of its clients.
@@ -109,20 +105,12 @@
         if candidates.iter().any(|c| !avoid.contains(&c.tag)) {
             candidates.retain(|c| !avoid.contains(&c.tag));
         }
-        if self.prefers_local(&candidates) {
+        if self.prefers_local(service, &candidates) {
             candidates.retain(|c| c.is_local);
         }
         Some((self.select(&mut candidates, rng)?, best))
     }
 
-    fn select(&self, candidates: &mut [Candidate], rng: &mut SmallRng) -> Option<Tag> {
-        if !self.remote_loads.are_shared() {
-            return least_loaded(candidates, rng);
-        }
-        let (drawn, _) = candidates.partial_shuffle(rng, SAMPLES);
-        least_loaded(drawn, rng)
-    }
-
     fn candidates(&self, service: &ServiceId) -> SmallVec<[Candidate; 32]> {
         let pool = self.directory.pool(service);
         let slowness = self.response_times.slowness(pool, self.now);
@@ -189,13 +177,14 @@
         (1.0 + flows + WAITING_WEIGHT * waiting) / f64::from(entry.server.slots.max(1))
     }
 
-    fn prefers_local(&self, candidates: &[Candidate]) -> bool {
+    fn prefers_local(&self, service: &ServiceId, candidates: &[Candidate]) -> bool {
         let (local, remote): (Vec<&Candidate>, Vec<&Candidate>) =
             candidates.iter().partition(|c| c.is_local);
         if local.is_empty() || remote.is_empty() {
             return !local.is_empty();
         }
-        let (local, remote) = (mean_load(&local), mean_load(&remote));
+        let remote = mean_load(&remote).max(self.remote_demand(service));
+        let local = mean_load(&local);
         local <= SPILL_FLOOR.max(remote * SPILL_RATIO)
     }
 }
--- a/tests/steering_load_messages.rs
+++ b/tests/steering_load_messages.rs
@@ -58,6 +58,25 @@
     }
 }
 
+/// Returns a VM that knows all backend servers.
+fn large_pool() -> Simulation {
+    let mut sim = Simulation::start(&["dc-a"]);
+    sim.configure(1, &[("web", 1), ("shop", 1)]);
+    for key in 1..=600 {
+        sim.put_backend(&server(key));
+    }
+    // The store lists them in pages.
+    sim.run(Millis(5_000));
+    let at = sim.now;
+    assert_eq!(sim.vm(0).stats(at).backends, 600);
+    sim
+}
+
+/// Returns the backend servers of the first data centre.
+fn local_tags() -> Vec<Tag> {
+    (0..120).map(|n| Tag::of(server(n * 5 + 5).key)).collect()
+}
+
 fn load(tag: Tag, flows: u32, samples: u16, mean_ms: u16) -> TagLoad {
     TagLoad {
         tag,
@@ -111,8 +130,8 @@
 
 /// Passes the messages of the other VMs to the hub.
 fn report(hub: &mut Steering, number: u64, now: Time) {
-    let local: Vec<Tag> = (0..120).map(|n| Tag::of(server(n * 5 + 5).key)).collect();
-    let loads: Vec<TagLoad> = local.iter().map(|tag| load(*tag, 3, 5, 50)).collect();
+    let tags = local_tags().into_iter();
+    let loads: Vec<TagLoad> = tags.map(|tag| load(tag, 3, 5, 50)).collect();
     for at in 0..59 {
         hub.on_heartbeat(heartbeat(at, "dc-a", loads.clone()), now);
     }
@@ -135,15 +154,7 @@
 /// datagrams that the receive buffer cuts off.
 #[test]
 fn a_hub_of_300_vms_sends_at_most_250_kb_per_second() {
-    let mut sim = Simulation::start(&["dc-a"]);
-    sim.configure(1, &[("web", 1), ("shop", 1)]);
-    for key in 1..=600 {
-        sim.put_backend(&server(key));
-    }
-    // The store lists them in pages.
-    sim.run(Millis(5_000));
-    let at = sim.now;
-    assert_eq!(sim.vm(0).stats(at).backends, 600);
+    let mut sim = large_pool();
     for port in 1_000..1_300 {
         let tag = sim.place(0, port).expect("the flow is placed");
         sim.packet(0, &acknowledgement(port, tag, 101, 500));
@@ -151,7 +162,7 @@
     let (mut now, mut bytes, mut sums, mut largest) = (sim.now, 0, 0, 0);
     let hub = sim.vm(0);
     for tick in 0..360 {
-        now = now + TICK;
+        now += TICK;
         if tick % 10 == 0 {
             report(hub, tick, now);
         }
@@ -190,7 +201,7 @@
             other.millicores = 500;
             vm.on_heartbeat(other, now);
         }
-        now = now + TICK;
+        now += TICK;
         vm.tick(now);
     }
     (vm, identity(0, "dc-a").address, now)
@@ -241,6 +252,32 @@
     assert!(vm.remote_loads().demands().is_empty());
 }
 
+/// Guards against flows that leave because the sums have no room for the backend
+/// servers of other data centres, which then look idle.
+#[test]
+fn backend_servers_that_the_sums_leave_out_do_not_look_idle() {
+    let mut sim = large_pool();
+    let now = sim.now;
+    let vm = sim.vm(0);
+    for at in 0..20 {
+        let mut other = heartbeat(at, "dc-a", Vec::new());
+        other.millicores = 500;
+        vm.on_heartbeat(other, now);
+    }
+    vm.tick(now + Millis(100));
+    let entries = local_tags().into_iter().map(|tag| load(tag, 40, 5, 50));
+    let PeerMessage::FleetLoads(mut loads) = sums(origin(identity(0, "a").address, 5, 7), 1) else {
+        unreachable!("it is a sum");
+    };
+    loads.backends = entries.collect();
+    vm.on_message(PeerMessage::FleetLoads(loads), now);
+    let local = local_tags();
+    for port in 1_000..1_050 {
+        let tag = sim.place(0, port).expect("the flow is placed");
+        assert!(local.contains(&tag));
+    }
+}
+
 /// Guards against a mean that is weighted wrongly, or that keeps a former report.
 #[test]
 fn service_times_are_weighted_by_their_samples() {
