--- a/tests/steering_load_messages.rs
+++ b/tests/steering_load_messages.rs
@@ -84,7 +84,13 @@
         waiting: flows / 2,
         stalled: 0,
         is_answering: true,
-        service_time: ServiceTime { samples, mean_ms },
+        service_time: ServiceTime {
+            samples,
+            mean_ms,
+            answers: 8,
+            fast: 1,
+            slow: 1,
+        },
     }
 }
 
@@ -290,6 +296,9 @@
     let expected = ServiceTime {
         samples: 40,
         mean_ms: 60,
+        answers: 16,
+        fast: 2,
+        slow: 2,
     };
     assert_eq!(vm.remote_loads().load(tag).service_time, expected);
 }
