--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -5,7 +5,6 @@
 use super::{
     Action,
     Steering,
-    capability::ServiceTime,
     decision::{
         Decision,
         Source, //
@@ -139,9 +138,10 @@
             waiting: load.waiting,
             stalled: self.stalls.stalled_flows(tag),
             is_answering: self.stalls.is_answering(tag, now),
-            service_time: ServiceTime::default(),
+            service_time: self.capability.report(tag, now),
         };
-        self.flows.loads().map(load).collect()
+        let loads = self.flows.loads().chain(self.sampled_idle());
+        loads.map(load).collect()
     }
 
     /// Creates the heartbeat for the VM at `to`.
--- a/src/core/steering/loads/sum.rs
+++ b/src/core/steering/loads/sum.rs
@@ -36,11 +36,19 @@
     answered: u32,
     samples: u32,
     sampled_ms: u64,
+    /// Recent responses, fast ones and slow ones.
+    recent: [u32; 3],
 }
 
 impl LoadSum {
     fn of(load: &TagLoad) -> LoadSum {
-        let ServiceTime { samples, mean_ms } = load.service_time;
+        let ServiceTime {
+            samples,
+            mean_ms,
+            answers,
+            fast,
+            slow,
+        } = load.service_time;
         LoadSum {
             flows: load.flows,
             waiting: load.waiting,
@@ -48,6 +56,7 @@
             answered: u32::from(load.is_answering),
             samples: u32::from(samples),
             sampled_ms: u64::from(samples) * u64::from(mean_ms),
+            recent: [answers, fast, slow].map(u32::from),
         }
     }
 
@@ -58,6 +67,9 @@
         self.answered = self.answered.saturating_add(part.answered);
         self.samples = self.samples.saturating_add(part.samples);
         self.sampled_ms = self.sampled_ms.saturating_add(part.sampled_ms);
+        for (sum, part) in self.recent.iter_mut().zip(part.recent) {
+            *sum = sum.saturating_add(part);
+        }
     }
 
     pub(super) fn subtract(&mut self, part: &LoadSum) {
@@ -67,16 +79,24 @@
         self.answered = self.answered.saturating_sub(part.answered);
         self.samples = self.samples.saturating_sub(part.samples);
         self.sampled_ms = self.sampled_ms.saturating_sub(part.sampled_ms);
+        for (sum, part) in self.recent.iter_mut().zip(part.recent) {
+            *sum = sum.saturating_sub(part);
+        }
     }
 
     fn service_time(&self) -> ServiceTime {
         let mean_ms = match self.samples {
             0 => 0,
-            samples => self.sampled_ms / u64::from(samples),
+            samples => (self.sampled_ms + u64::from(samples) / 2) / u64::from(samples),
         };
+        let to_u16 = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
+        let [answers, fast, slow] = self.recent.map(to_u16);
         ServiceTime {
-            samples: u16::try_from(self.samples).unwrap_or(u16::MAX),
+            samples: to_u16(self.samples),
             mean_ms: u16::try_from(mean_ms).unwrap_or(u16::MAX),
+            answers,
+            fast,
+            slow,
         }
     }
 
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -65,6 +65,7 @@
 mod takeover;
 
 pub use action::Action;
+use capability::Capability;
 use cold::ColdBudget;
 use cold_grants::{
     ColdAssignments,
@@ -140,6 +141,7 @@
     cold_assignments: ColdAssignments,
     cold_grants: HeldGrants,
     response_times: ResponseTimes,
+    capability: Capability,
     stalls: Stalls,
     handshakes: Handshakes,
     unlisted: UnlistedTags,
@@ -196,6 +198,7 @@
             cold_assignments: ColdAssignments::default(),
             cold_grants: HeldGrants::default(),
             response_times: ResponseTimes::default(),
+            capability: Capability::default(),
             stalls: Stalls::default(),
             handshakes: Handshakes::default(),
             unlisted: UnlistedTags::default(),
@@ -284,6 +287,7 @@
         self.request_unknown(now);
         self.update_loads(now);
         self.update_stalls(now);
+        self.update_capability(now);
         if self.cold_assignments.is_due(now) {
             self.assign_cold(now);
         }
@@ -337,6 +341,8 @@
             waiting: self.flows.waiting(),
             backends: self.available_backends(now).count(),
             dead: self.detector.dead().count(),
+            estimated: self.capability.estimated(),
+            too_fast: self.capability.doubtful(now),
             replicas: self.replicas.len(),
             peers: self.peers.live(now).count(),
             era: self.sync.era().unwrap_or_default(),
