--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -101,4 +101,6 @@
     7017 StoreRestored Warn "The store was restored from an older copy and has lost its last changes.";
     7018 ConfigurationHeldBack Warn "A configuration that is older than the active one was not activated.";
     7019 BackendsDoubted Warn "A restored store lists backend servers that drain, have left or have started again; they get no new flows.";
+    7022 PathLost Warn "Handshakes with backend servers of a data centre are not answered; new flows go to other data centres.";
+    7023 PathRestored Info "The path to a data centre works again.";
 }
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -12,6 +12,7 @@
         FlowId,
         ResetReason, //
     },
+    paths::PathEvidence,
     store::{
         Era,
         Kind,
@@ -164,6 +165,20 @@
         /// Kind of the objects that were requested.
         kind: Kind,
     },
+    /// The path to a data centre was lost.
+    PathLost {
+        /// Data centre.
+        data_centre: DataCentreId,
+        /// Evidence for the loss.
+        evidence: PathEvidence,
+    },
+    /// The path to a data centre works again.
+    PathRestored {
+        /// Data centre.
+        data_centre: DataCentreId,
+        /// How long it was lost.
+        lost_for: Millis,
+    },
     /// A peer was heard for the first time, or is no longer heard.
     PeerHeard {
         /// Whether it is heard.
@@ -197,6 +212,8 @@
             Decision::TakenOver { .. } => Notice::DataCentreTakenOver,
             Decision::StoreAnswers { answers: true, .. } => Notice::StoreRegained,
             Decision::StoreAnswers { .. } => Notice::StoreLost,
+            Decision::PathLost { .. } => Notice::PathLost,
+            Decision::PathRestored { .. } => Notice::PathRestored,
             Decision::PeerHeard { is_heard: true, .. } => Notice::PeerFound,
             Decision::PeerHeard { .. } => Notice::PeerSilent,
         }
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -153,7 +153,7 @@
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
             routes: Vec::new(),
-            paths: Vec::new(),
+            paths: self.paths.report(now),
             dead: self.detector.dead_or_unconfirmed().collect(),
             stalled: self.stalls.found().collect(),
             takeovers: self.takeovers.export(),
--- a/src/core/steering/handshakes.rs
+++ b/src/core/steering/handshakes.rs
@@ -139,9 +139,22 @@
             .retain(|_, last| now.since(last.at) < RETRY_WINDOW);
     }
 
-    fn late_after(&self) -> Millis {
-        let [min, max] = LATE_BOUNDS_MS;
-        let late_after = self.mean_ms.map_or(max, |mean_ms| LATE_FACTOR * mean_ms);
-        Millis(late_after.clamp(min, max) as u64)
+    /// Returns the time after which a handshake with any backend server is late.
+    pub fn late_after(&self) -> Millis {
+        late_after(self.mean_ms)
     }
+
+    /// Iterates over the flows that have not opened, in arbitrary order: the backend
+    /// server and when the opening packet was sent.
+    pub fn unopened(&self) -> impl Iterator<Item = (Tag, Time)> {
+        let unopened = self.unopened.iter();
+        unopened.flat_map(|(tag, sent)| sent.iter().map(|at| (*tag, *at)))
+    }
+}
+
+/// Returns the time after which a handshake is late, by the mean handshake time.
+pub fn late_after(mean_ms: Option<f64>) -> Millis {
+    let [min, max] = LATE_BOUNDS_MS;
+    let late_after = mean_ms.map_or(max, |mean_ms| LATE_FACTOR * mean_ms);
+    Millis(late_after.clamp(min, max) as u64)
 }
--- a/src/core/steering/hubs.rs
+++ b/src/core/steering/hubs.rs
@@ -40,7 +40,7 @@
 const SELECTION_INTERVAL: Millis = Millis(100);
 
 /// Maximum number of peers in a full mesh.
-const MAX_FULL_MESH: usize = 16;
+pub(super) const MAX_FULL_MESH: usize = 16;
 
 const HUBS_PER_DATA_CENTRE: usize = 2;
 
--- a/src/core/steering/loads/exchange.rs
+++ b/src/core/steering/loads/exchange.rs
@@ -11,7 +11,9 @@
 
 impl Steering {
     /// Processes the load sums of a hub of this data centre.
-    pub(in super::super) fn on_fleet_loads(&mut self, _loads: FleetLoads, _now: Time) {}
+    pub(in super::super) fn on_fleet_loads(&mut self, loads: FleetLoads, now: Time) {
+        self.paths.record_verdicts(&loads.lost_paths, now);
+    }
 
     /// Processes the load sums of another data centre.
     pub(in super::super) fn on_data_centre_loads(&mut self, _loads: DataCentreLoads, _now: Time) {}
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -85,6 +85,7 @@
 use known_peer::HEARTBEAT_INTERVAL;
 use loads::RemoteLoads;
 use members::Members;
+use paths::Paths;
 use peers::{
     Contact,
     FleetRecord, //
@@ -138,6 +139,7 @@
     response_times: ResponseTimes,
     stalls: Stalls,
     handshakes: Handshakes,
+    paths: Paths,
     unlisted: UnlistedTags,
     peers: Members,
     /// VM that holds replicas of this VM's flows.
@@ -181,7 +183,6 @@
             takeovers: Takeovers::default(),
             registration: Registration::default(),
             admission: SnapshotAdmission::default(),
-            me,
             routing: Routing::default(),
             directory: Directory::default(),
             flows: FlowTable::default(),
@@ -192,6 +193,7 @@
             response_times: ResponseTimes::default(),
             stalls: Stalls::default(),
             handshakes: Handshakes::default(),
+            paths: Paths::open(me.data_centre.clone()),
             unlisted: UnlistedTags::default(),
             remote_loads: RemoteLoads::default(),
             sync: SyncState::default(),
@@ -204,6 +206,7 @@
             actions: Vec::new(),
             decisions: Vec::new(),
             response_samples: Vec::new(),
+            me,
         }
     }
 
@@ -268,6 +271,7 @@
         self.reset_ended_backends(now);
         self.reset_unlisted(now);
         self.remove_lost_peers(now);
+        self.update_paths(now);
         self.probe_unopened(now);
         self.send_probes(now);
         self.reset_lost_flows(now);
@@ -349,7 +353,8 @@
     /// routers send its clients to other VMs.
     fn update_readiness(&mut self, now: Time) {
         let has_available = self.available_backends(now).next().is_some();
-        let can_serve = self.is_synced() && (has_available || self.has_no_backend());
+        let has_no_alternative = self.has_no_backend() || self.is_without_alternative(now);
+        let can_serve = self.is_synced() && (has_available || has_no_alternative);
         if self.readiness.update(can_serve, now) {
             let is_ready = self.readiness.is_ready;
             let backends = self.available_backends(now).count();
@@ -363,6 +368,7 @@
         self.directory
             .iter()
             .filter(move |(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
+            .filter(move |(_, e)| !self.paths.is_lost(&e.server.data_centre, now))
             .map(|(tag, _)| tag)
             .filter(|tag| self.detector.health(*tag) < HealthState::Unreachable)
             .filter(|tag| !self.detector.is_unconfirmed(*tag))
--- a/src/core/steering/paths/mod.rs
+++ b/src/core/steering/paths/mod.rs
@@ -1,20 +1,316 @@
 //! Which data centres can be reached from this one.
+//!
+//! Handles the loss of the path to a whole data centre: it has no power, or the
+//! network between it and this data centre is cut, in one direction or both. The
+//! evidence is handshakes with several of its backend servers that are late at
+//! several VMs. Designed for fleets that are too large for a full mesh, where a
+//! VM alone opens too few flows to another data centre to tell a lost path from
+//! one slow backend server.
+
+use std::collections::BTreeMap;
 
 use serde::{
     Deserialize,
     Serialize, //
 };
+use smallvec::SmallVec;
+
+mod evaluation;
+mod exchange;
+mod late_handshakes;
+
+use self::late_handshakes::LateHandshakes;
+use super::{
+    handshakes::late_after,
+    tag::Tag, //
+};
+use crate::{
+    core::names::DataCentreId,
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+
+/// Backend servers with late handshakes that show that a path is lost.
+pub const MIN_LATE_BACKENDS: usize = 3;
+
+/// How long a late handshake counts after its packet was sent.
+const EVIDENCE_TIME: Millis = Millis(1_000);
+
+/// How long a hub's verdict is valid without renewal.
+const VERDICT_TIME: Millis = Millis(1_500);
+
+/// Interval between two trials of a lost path: probes, and flows that no other
+/// backend server can take.
+const TRIAL_INTERVAL: Millis = Millis(1_000);
+
+/// A loss that ends sooner is logged as ended only then, which bounds the number of
+/// events while a data centre is overloaded and its handshakes fail by turns.
+const MIN_LOGGED_TIME: Millis = Millis(1_000);
 
-use crate::core::names::DataCentreId;
+/// Weight of a new handshake in the mean of a data centre.
+const SMOOTHING_FACTOR: f64 = 0.1;
 
-/// Handshakes of a VM with the backend servers of one data centre, over the last
-/// second.
+/// Handshakes of a VM with the backend servers of one data centre.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PathReport {
     /// Data centre of the backend servers.
     pub data_centre: DataCentreId,
-    /// Flows that opened.
-    pub opened: u16,
-    /// Backend servers with handshakes that are late.
-    pub late: u16,
+    /// Time since the path last worked; `None` if that was not seen in the last
+    /// second.
+    pub opened: Option<Millis>,
+    /// Backend servers with handshakes that are late, and the time since the last
+    /// such packet was sent. Only packets that were sent after the path last worked.
+    ///
+    /// Invariant: at most [`MIN_LATE_BACKENDS`], without duplicates.
+    pub late: SmallVec<[(Tag, Millis); MIN_LATE_BACKENDS]>,
+}
+
+/// Evidence for the loss of a path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PathEvidence {
+    /// Handshakes are late, but VMs of the data centre are heard.
+    LateHandshakes,
+    /// No VM of the data centre is heard, here or elsewhere: it may have no power.
+    NotHeard,
+    /// Another data centre hears VMs of the data centre: the network is partitioned.
+    HeardElsewhere,
+    /// A hub reports the loss.
+    Reported,
+}
+
+/// Path to one data centre.
+#[derive(Debug, Default)]
+struct Path {
+    /// Moving average of the handshake times in milliseconds.
+    mean_ms: Option<f64>,
+    /// Latest time at which the path is known to have worked.
+    worked_at: Option<Time>,
+    late: LateHandshakes,
+    /// Number of late backend servers that the hubs were told of.
+    notified: usize,
+    /// Verdict of this VM alone: when the first of the late packets was sent.
+    lost_here: Option<Time>,
+    /// Verdict for the data centre, if this VM is its first hub.
+    lost_to_all: Option<Time>,
+    /// When a hub first reported the loss, and until when the report is valid.
+    reported: Option<(Time, Time)>,
+    /// Since when the loss is logged.
+    logged_since: Option<Time>,
+    next_probe: Time,
+    next_trial: Time,
+}
+
+impl Path {
+    fn has_worked_since(&self, since: Time) -> bool {
+        self.worked_at.is_some_and(|at| at >= since)
+    }
+
+    fn record_working(&mut self, at: Time) {
+        self.worked_at = self.worked_at.max(Some(at));
+    }
+
+    /// Returns whether a hub reports the loss, and no flow of this VM shows that its
+    /// own path works.
+    fn is_reported_lost(&self, now: Time) -> bool {
+        self.reported
+            .is_some_and(|(since, until)| now < until && !self.has_worked_since(since))
+    }
+
+    fn is_lost(&self, now: Time) -> bool {
+        self.lost_here.is_some() || self.lost_to_all.is_some() || self.is_reported_lost(now)
+    }
+
+    /// Returns whether this VM has to find out whether the path works again.
+    fn needs_trial(&self, now: Time) -> bool {
+        self.lost_to_all.is_some() || (self.lost_here.is_some() && !self.is_reported_lost(now))
+    }
+
+    fn late_after(&self, at_least: Millis) -> Millis {
+        late_after(self.mean_ms).max(at_least)
+    }
+}
+
+/// Paths from this data centre to all data centres.
+#[derive(Debug)]
+pub struct Paths {
+    /// Data centre of this VM.
+    local: DataCentreId,
+    /// Includes the local data centre, for its handshake time.
+    paths: BTreeMap<DataCentreId, Path>,
+    /// Earliest time of the next heartbeats out of turn.
+    next_notification: Time,
+    /// Whether this VM is the first hub, which makes the verdicts for all VMs of its
+    /// data centre.
+    is_first_hub: bool,
+    /// Whether the verdicts of the first hub changed since the last call of
+    /// [`Paths::take_change`].
+    has_changed: bool,
+}
+
+impl Paths {
+    /// Creates the paths from `local`.
+    pub fn open(local: DataCentreId) -> Paths {
+        Paths {
+            local,
+            paths: BTreeMap::new(),
+            next_notification: Time::default(),
+            is_first_hub: false,
+            has_changed: false,
+        }
+    }
+
+    /// Records that a flow opened after `elapsed`, if known. `usual_limit` is the
+    /// time after which a handshake with any backend server is late.
+    pub fn record_opened(
+        &mut self,
+        data_centre: &DataCentreId,
+        elapsed: Option<Millis>,
+        usual_limit: Millis,
+        now: Time,
+    ) {
+        let path = self.path_mut(data_centre);
+        // The packet that opens a flow proves only that the path worked a round trip
+        // earlier.
+        let limit = path.late_after(usual_limit);
+        path.record_working(now - elapsed.map_or(limit, |t| t.min(limit)));
+        let Some(elapsed) = elapsed.map(|t| t.0 as f64) else {
+            return;
+        };
+        let mean_ms = path.mean_ms.get_or_insert(elapsed);
+        *mean_ms += SMOOTHING_FACTOR * (elapsed - *mean_ms);
+    }
+
+    /// Records that a backend server accepted a probe.
+    pub fn record_accepted_probe(&mut self, data_centre: &DataCentreId, now: Time) {
+        self.path_mut(data_centre).record_working(now);
+    }
+
+    /// Returns whether new flows should not use the path to a data centre.
+    pub fn is_lost(&self, data_centre: &DataCentreId, now: Time) -> bool {
+        let path = self.paths.get(data_centre);
+        path.is_some_and(|path| path.is_lost(now))
+    }
+
+    /// Returns the mean handshake time of a data centre minus that of the local one;
+    /// `None` until both are known.
+    pub fn extra_delay(&self, data_centre: &DataCentreId) -> Option<Millis> {
+        let mean_ms = |d: &DataCentreId| self.paths.get(d).and_then(|path| path.mean_ms);
+        let extra = mean_ms(data_centre)? - mean_ms(&self.local)?;
+        Some(Millis(extra.max(0.0).round() as u64))
+    }
+
+    /// Returns the lost paths, if this VM is the first hub.
+    pub fn lost_to_all(&self) -> Vec<DataCentreId> {
+        let lost = self.paths.iter().filter(|(_, p)| p.lost_to_all.is_some());
+        lost.map(|(data_centre, _)| data_centre.clone()).collect()
+    }
+
+    /// Returns whether [`Paths::lost_to_all`] changed since the last call, so that it
+    /// must be sent at once.
+    pub fn take_change(&mut self) -> bool {
+        std::mem::take(&mut self.has_changed)
+    }
+
+    /// Records the lost paths that the first hub reports. Two hubs that both consider
+    /// themselves first ignore each other's verdicts, which would renew them for ever.
+    pub fn record_verdicts(&mut self, lost: &[DataCentreId], now: Time) {
+        if self.is_first_hub {
+            return;
+        }
+        for data_centre in lost {
+            if *data_centre == self.local {
+                continue;
+            }
+            let path = self.path_mut(data_centre);
+            let since = path.reported.map_or(now, |(since, _)| since);
+            path.reported = Some((since, now + VERDICT_TIME));
+        }
+        for (data_centre, path) in &mut self.paths {
+            if !lost.contains(data_centre) && path.reported.take().is_some() {
+                // Another VM has shown that the path works.
+                path.record_working(now);
+                path.lost_here = None;
+            }
+        }
+    }
+
+    /// Takes the permission to send a flow along a lost path, which shows whether it
+    /// works again.
+    pub fn take_trial(&mut self, data_centre: &DataCentreId, now: Time) -> bool {
+        let path = self.path_mut(data_centre);
+        let is_due = path.needs_trial(now) && now >= path.next_trial;
+        if is_due {
+            path.next_trial = now + TRIAL_INTERVAL;
+        }
+        is_due
+    }
+
+    /// Takes the data centres that a probe should try now.
+    fn take_probes(&mut self, now: Time) -> Vec<DataCentreId> {
+        let mut due = Vec::new();
+        for (data_centre, path) in &mut self.paths {
+            if path.needs_trial(now) && now >= path.next_probe {
+                path.next_probe = now + TRIAL_INTERVAL;
+                due.push(data_centre.clone());
+            }
+        }
+        due
+    }
+
+    /// Returns the evidence of this VM, for the hubs.
+    pub fn report(&self, now: Time) -> Vec<PathReport> {
+        let remote = self.paths.iter().filter(|(d, _)| **d != self.local);
+        let report = |(data_centre, path): (&DataCentreId, &Path)| {
+            let opened = path.worked_at.map(|at| now.since(at));
+            PathReport {
+                data_centre: data_centre.clone(),
+                opened: opened.filter(|age| *age < EVIDENCE_TIME),
+                late: path.late.ages(now),
+            }
+        };
+        remote
+            .map(report)
+            .filter(|r| r.opened.is_some() || !r.late.is_empty())
+            .collect()
+    }
+
+    /// Takes the data centres whose path was lost or restored since the last call,
+    /// with the time for which a restored one was lost.
+    fn take_changes(&mut self, now: Time) -> Vec<(DataCentreId, Option<Millis>)> {
+        let mut changes = Vec::new();
+        for (data_centre, path) in &mut self.paths {
+            match (path.is_lost(now), path.logged_since) {
+                (true, None) => {
+                    path.logged_since = Some(now);
+                    changes.push((data_centre.clone(), None));
+                }
+                (false, Some(since)) if now.since(since) >= MIN_LOGGED_TIME => {
+                    path.logged_since = None;
+                    changes.push((data_centre.clone(), Some(now.since(since))));
+                }
+                _ => {}
+            }
+        }
+        changes
+    }
+
+    /// Returns whether a hub reports that a path is lost.
+    fn is_reported(&self, data_centre: &DataCentreId, now: Time) -> bool {
+        let path = self.paths.get(data_centre);
+        path.is_some_and(|path| path.is_reported_lost(now))
+    }
+
+    /// Forgets all verdicts.
+    fn clear(&mut self) {
+        self.is_first_hub = false;
+        self.paths.values_mut().for_each(|path| {
+            (path.lost_here, path.lost_to_all, path.reported) = Default::default()
+        });
+    }
+
+    fn path_mut(&mut self, data_centre: &DataCentreId) -> &mut Path {
+        self.paths.entry(data_centre.clone()).or_default()
+    }
 }
--- a/src/core/steering/placement/mod.rs
+++ b/src/core/steering/placement/mod.rs
@@ -33,6 +33,7 @@
     flows::FlowTable,
     handshakes::Handshakes,
     loads::RemoteLoads,
+    paths::Paths,
     response_times::ResponseTimes,
     routing::Routing,
     stalls::Stalls,
@@ -69,6 +70,8 @@
     pub stalls: &'a Stalls,
     /// Backend servers that reject new flows or leave them unanswered.
     pub handshakes: &'a Handshakes,
+    /// Paths to the data centres of the backend servers.
+    pub paths: &'a Paths,
     /// New flows sent to backend servers in cold start.
     pub cold_budget: &'a ColdBudget,
     /// Backend servers in cold start to which this VM may send flows.
@@ -85,6 +88,7 @@
     tag: Tag,
     fitness: Fitness,
     is_local: bool,
+    is_path_lost: bool,
     load: f64,
 }
 
@@ -101,6 +105,9 @@
         let mut candidates = self.candidates(service);
         let best = candidates.iter().map(|c| c.fitness).min()?;
         candidates.retain(|c| c.fitness == best);
+        if candidates.iter().any(|c| !c.is_path_lost) {
+            candidates.retain(|c| !c.is_path_lost);
+        }
         if candidates.iter().any(|c| !avoid.contains(&c.tag)) {
             candidates.retain(|c| !avoid.contains(&c.tag));
         }
@@ -130,6 +137,7 @@
             tag,
             fitness,
             is_local: entry.server.data_centre == self.me.data_centre,
+            is_path_lost: self.paths.is_lost(&entry.server.data_centre, self.now),
             load: self.slot_load(tag, entry) * slowness,
         })
     }
@@ -139,7 +147,8 @@
         if fitness == Fitness::Cold && !self.may_send_cold(tag, &entry.server.service) {
             return Fitness::Unfit;
         }
-        let fails_handshakes = self.handshakes.is_failing(tag, self.now);
+        let fails_handshakes = self.handshakes.is_failing(tag, self.now)
+            || self.paths.is_lost(&entry.server.data_centre, self.now);
         match self.detector.health(tag) {
             HealthState::Healthy if !fails_handshakes => fitness,
             // As `Fitness::Doubtful`, it would get flows that the cold-start
--- a/src/core/steering/probing.rs
+++ b/src/core/steering/probing.rs
@@ -29,6 +29,9 @@
 impl Steering {
     /// Processes the outcome of a probe.
     pub fn on_probe(&mut self, tag: Tag, outcome: ProbeOutcome, now: Time) {
+        if outcome == ProbeOutcome::Accepted {
+            self.record_path_probe(tag, now);
+        }
         let was_dead = self.detector.health(tag) == HealthState::Dead;
         if self.detector.on_probe(tag, outcome, now) {
             self.declare_dead(tag, now);
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -81,6 +81,9 @@
         let Some((tag, fitness)) = self.place_flow(packet, &attempted, now) else {
             return self.refuse_flow(now);
         };
+        if self.is_behind_lost_path(tag, now) {
+            return Verdict::Reset(ResetReason::NoBackend);
+        }
         self.flows.record_attempt(packet, copy, tag, now);
         self.handshakes
             .record_attempt(*packet.flow.client.ip(), tag, now);
@@ -101,9 +104,9 @@
     /// Refuses a new flow that no backend server can take. While the routers
     /// may not have noticed yet that this VM is not ready, the packet is
     /// dropped: the client's retransmission then reaches a VM that can serve
-    /// it.
+    /// it. If all paths are lost, no VM of this data centre can serve it.
     fn refuse_flow(&self, now: Time) -> Verdict {
-        if self.readiness.awaits_router_notice(now) {
+        if self.readiness.awaits_router_notice(now) && !self.has_lost_all_paths(now) {
             return Verdict::Drop(DropReason::NoBackend);
         }
         Verdict::Reset(ResetReason::NoBackend)
@@ -131,7 +134,10 @@
             if fitness == Fitness::Ready {
                 return Some((tag, fitness));
             }
-            if found.is_none_or(|(_, best)| fitness < best) {
+            let is_better = |(held, best): (Tag, Fitness)| {
+                fitness < best || (fitness == best && self.is_path_lost(held, now))
+            };
+            if found.is_none_or(is_better) {
                 found = Some((tag, fitness));
             }
         }
@@ -154,6 +160,7 @@
             response_times: &self.response_times,
             stalls: &self.stalls,
             handshakes: &self.handshakes,
+            paths: &self.paths,
             cold_budget: &self.cold_budget,
             cold_grants: &self.cold_grants,
             detector: &self.detector,
@@ -225,6 +232,7 @@
                 self.detector.mark_alive(tag, now);
                 let client = *packet.flow.client.ip();
                 self.handshakes.record_success(client, tag, elapsed);
+                self.record_path_opened(tag, elapsed, now);
             }
             BackendSignal::Answered { tag, elapsed } => {
                 self.detector.mark_alive(tag, now);
--- a/src/core/steering/takeover.rs
+++ b/src/core/steering/takeover.rs
@@ -73,6 +73,11 @@
         self.observed.keys().cloned().collect()
     }
 
+    /// Returns whether the routers send the clients of a data centre elsewhere.
+    pub(super) fn is_active(&self, data_centre: &DataCentreId) -> bool {
+        self.active.contains_key(data_centre)
+    }
+
     fn sweep(&mut self, now: Time) {
         self.observed
             .retain(|_, at| now.since(*at) < TAKEOVER_TIMEOUT);
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -144,6 +144,14 @@
             replicas,
         } => log_decision!(decision, %data_centre, replicas),
         Decision::StoreAnswers { answers, kind } => log_decision!(decision, answers, %kind),
+        Decision::PathLost {
+            data_centre,
+            evidence,
+        } => log_decision!(decision, %data_centre, ?evidence),
+        Decision::PathRestored {
+            data_centre,
+            lost_for,
+        } => log_decision!(decision, %data_centre, lost_for_ms = lost_for.0),
         Decision::PeerHeard {
             is_heard,
             vm,
--- /dev/null
+++ b/tests/steering_paths.rs
@@ -0,0 +1,325 @@
+//! Tests of the detection of lost paths between data centres.
+//!
+//! The load: 24 VMs in three data centres. The data centre `a` has no backend servers,
+//! `b` and `c` have eight each. One flow opens at each VM of `a` every 80 ms.
+
+use std::{
+    collections::BTreeMap,
+    net::Ipv4Addr, //
+};
+
+use dragonflytrack::{
+    core::{
+        names::{
+            DataCentreId,
+            Incarnation, //
+        },
+        steering::{
+            decision::Decision,
+            loads::message::{
+                FleetLoads,
+                LoadsOrigin, //
+            },
+            packet::{
+                Packet,
+                ResetReason,
+                Verdict, //
+            },
+            paths::PathEvidence,
+            peers::PeerMessage,
+            tag::Tag, //
+        },
+    },
+    kernel::clock::Millis,
+};
+use dragonflytrack_testkit::steering::{
+    Simulation,
+    acknowledgement,
+    backend,
+    opening,
+    route_address, //
+};
+
+const VMS_PER_DATA_CENTRE: usize = 8;
+
+const STEP: Millis = Millis(10);
+
+/// Time by which new flows avoid a lost path.
+const NOTICE_STEPS: usize = 30;
+
+struct Net {
+    sim: Simulation,
+    /// Backend servers in `b`.
+    b: Vec<Tag>,
+    /// Backend servers in `c`.
+    c: Vec<Tag>,
+    /// Handshake time in steps, 1 unless given.
+    slow: BTreeMap<Tag, u64>,
+    /// Handshakes in flight: remaining steps, VM, port, backend server.
+    opening: Vec<(u64, usize, u16, Tag)>,
+    lost: Vec<DataCentreId>,
+    /// VM that sends its verdicts, and the step from which it does.
+    hub: usize,
+    hub_since: usize,
+    steps: usize,
+    port: u16,
+}
+
+impl Net {
+    fn start() -> Net {
+        Net::with_vms(VMS_PER_DATA_CENTRE)
+    }
+
+    /// Starts as many VMs in `b` and `c` as given.
+    fn with_vms(vms: usize) -> Net {
+        let a = vec!["a"; VMS_PER_DATA_CENTRE];
+        let data_centres = [a, vec!["b"; vms], vec!["c"; vms]];
+        let mut sim = Simulation::start(&data_centres.concat());
+        sim.configure(1, &[("web", 1)]);
+        let mut put = |first, data_centre| -> Vec<Tag> {
+            let keys = first..first + 8;
+            keys.map(|key| sim.put_backend(&backend(key, data_centre)))
+                .collect()
+        };
+        let (b, c) = (put(1, "b"), put(11, "c"));
+        sim.run(Millis(3_000));
+        let mut net = Net {
+            sim,
+            b,
+            c,
+            slow: BTreeMap::new(),
+            opening: Vec::new(),
+            lost: Vec::new(),
+            hub: 0,
+            hub_since: 0,
+            steps: 0,
+            port: 1_000,
+        };
+        net.run(100);
+        net
+    }
+
+    /// Cuts the path between VMs and backend servers, in the direction that
+    /// handshakes need.
+    fn cut(&mut self, vms: impl Iterator<Item = usize>, tags: &[Tag]) {
+        for vm in vms {
+            self.sim.unresponsive.extend(tags.iter().map(|t| (vm, *t)));
+        }
+    }
+
+    /// Stops the heartbeats between `a` and the VMs of the data centre at `at`.
+    fn silence(&mut self, at: usize) {
+        let vms = at * VMS_PER_DATA_CENTRE..(at + 1) * VMS_PER_DATA_CENTRE;
+        for vm in 0..VMS_PER_DATA_CENTRE {
+            self.sim.partitions.extend(vms.clone().map(|o| (vm, o)));
+        }
+    }
+
+    /// Opens flows for a number of steps. Returns the verdicts with the VMs.
+    fn run(&mut self, steps: usize) -> Vec<(usize, Verdict)> {
+        (0..steps).map(|_| self.step()).collect()
+    }
+
+    fn step(&mut self) -> (usize, Verdict) {
+        self.steps += 1;
+        for (steps, vm, port, tag) in std::mem::take(&mut self.opening) {
+            if steps > 0 {
+                self.opening.push((steps - 1, vm, port, tag));
+            } else if !self.sim.unresponsive.contains(&(vm, tag)) {
+                let packet = acknowledgement(port, tag, 101, 500);
+                self.sim.packet(vm, &from_own_client(packet));
+            }
+        }
+        self.port += 1;
+        let vm = self.steps % VMS_PER_DATA_CENTRE;
+        let verdict = self.sim.packet(vm, &from_own_client(opening(self.port, 0)));
+        if let Verdict::Forward(target) = verdict {
+            let steps = self.slow.get(&target.tag).copied().unwrap_or(1) - 1;
+            self.opening.push((steps, vm, self.port, target.tag));
+        }
+        self.sim.run(STEP);
+        self.share_verdicts();
+        (vm, verdict)
+    }
+
+    /// Sends the verdicts of the first hub of `a` as the exchange of loads does.
+    fn share_verdicts(&mut self) {
+        let hub = self.hub;
+        if self.steps < self.hub_since {
+            return;
+        }
+        let lost = self.sim.vm(hub).paths().lost_to_all();
+        if lost == self.lost && !self.steps.is_multiple_of(50) {
+            return;
+        }
+        self.lost = lost.clone();
+        let now = self.sim.now;
+        for vm in (0..VMS_PER_DATA_CENTRE).filter(|vm| *vm > hub) {
+            let loads = FleetLoads {
+                origin: LoadsOrigin {
+                    hub: route_address(),
+                    incarnation: Incarnation(1),
+                    number: self.steps as u64,
+                },
+                age: Millis(0),
+                backends: Vec::new(),
+                services: Vec::new(),
+                routes: Vec::new(),
+                lost_paths: lost.clone(),
+            };
+            let msg = PeerMessage::FleetLoads(loads);
+            self.sim.vm(vm).on_message(msg, now);
+        }
+    }
+
+    /// Cuts the first hub off from all VMs. The second one takes its place when it
+    /// counts as lost.
+    fn lose_hub(&mut self) {
+        self.sim
+            .partitions
+            .extend((1..3 * VMS_PER_DATA_CENTRE).map(|vm| (0, vm)));
+        self.hub = 1;
+        self.hub_since = self.steps + 95;
+    }
+
+    /// Returns the VMs of `a` that consider the path to a data centre lost.
+    fn losers(&mut self, data_centre: &str) -> Vec<usize> {
+        let (now, data_centre) = (self.sim.now, DataCentreId::new(data_centre));
+        let vms = 0..VMS_PER_DATA_CENTRE;
+        vms.filter(|vm| self.sim.vm(*vm).paths().is_lost(&data_centre, now))
+            .collect()
+    }
+
+    fn evidence(&self) -> Vec<PathEvidence> {
+        let decisions = self.sim.decisions.iter();
+        let evidence = decisions.filter_map(|(_, d)| match d {
+            Decision::PathLost { evidence, .. } => Some(*evidence),
+            _ => None,
+        });
+        evidence.collect()
+    }
+}
+
+/// Gives each flow its own client, so that no flow counts as a retry of another.
+fn from_own_client(mut packet: Packet) -> Packet {
+    let [high, low] = packet.flow.client.port().to_be_bytes();
+    packet.flow.client.set_ip(Ipv4Addr::new(100, 66, high, low));
+    packet
+}
+
+fn count_at(verdicts: &[(usize, Verdict)], tags: &[Tag]) -> usize {
+    let is_there = |v: &Verdict| matches!(v, Verdict::Forward(t) if tags.contains(&t.tag));
+    verdicts.iter().filter(|(_, v)| is_there(v)).count()
+}
+
+fn all() -> std::ops::Range<usize> {
+    0..VMS_PER_DATA_CENTRE
+}
+
+/// Guards against new flows that follow a cut path until each backend server behind
+/// it has failed at each VM, and against a path that is never used again.
+#[test]
+fn flows_avoid_a_lost_path_until_it_works_again() {
+    for is_silent in [true, false] {
+        let mut net = Net::start();
+        let b = net.b.clone();
+        net.cut(all(), &b);
+        if is_silent {
+            net.silence(1);
+        }
+        net.run(NOTICE_STEPS);
+        let verdicts = net.run(300);
+        assert_eq!(count_at(&verdicts, &b), 0, "silent: {is_silent}");
+        assert_eq!(net.losers("b").len(), VMS_PER_DATA_CENTRE);
+        net.sim.unresponsive.clear();
+        net.sim.partitions.clear();
+        net.run(200);
+        assert!(net.losers("b").is_empty());
+        assert!(count_at(&net.run(50), &b) >= 10);
+    }
+}
+
+/// Guards against a verdict from one backend server that fails at all VMs.
+#[test]
+fn one_backend_server_that_does_not_answer_is_no_lost_path() {
+    let mut net = Net::start();
+    let dead = net.b[..1].to_vec();
+    net.cut(all(), &dead);
+    net.run(300);
+    assert_eq!(net.evidence(), []);
+}
+
+/// Guards against a verdict from handshakes that complete late.
+#[test]
+fn slow_backend_servers_are_no_lost_path() {
+    let mut net = Net::start();
+    net.slow = net.b.iter().map(|tag| (*tag, 7)).collect();
+    net.run(100);
+    net.sim.decisions.clear();
+    let b = net.b.clone();
+    assert!(count_at(&net.run(200), &b) >= 50);
+    assert_eq!(net.evidence(), []);
+    assert!(net.losers("b").is_empty());
+}
+
+/// Guards against a VM with a faulty link that decides for all others.
+#[test]
+fn a_path_that_one_vm_has_lost_is_lost_to_that_vm_only() {
+    let mut net = Net::start();
+    let b = net.b.clone();
+    net.cut(3..4, &b);
+    net.run(200);
+    assert_eq!(net.losers("b"), [3]);
+}
+
+/// Guards against a verdict that ends when the hub that made it dies.
+#[test]
+fn the_next_hub_keeps_the_verdict() {
+    let mut net = Net::start();
+    let b = net.b.clone();
+    net.cut(all(), &b);
+    net.run(60);
+    net.lose_hub();
+    let verdicts = net.run(300);
+    let others: Vec<(usize, Verdict)> = verdicts.into_iter().filter(|(vm, _)| *vm > 0).collect();
+    assert_eq!(count_at(&others, &b), 0);
+    assert!(net.losers("b").len() >= VMS_PER_DATA_CENTRE - 1);
+}
+
+/// Guards against effects in a fleet that is a full mesh.
+#[test]
+fn small_fleets_have_no_lost_paths() {
+    let mut net = Net::with_vms(4);
+    let b = net.b.clone();
+    net.cut(all(), &b);
+    net.run(200);
+    assert_eq!(net.evidence(), []);
+}
+
+/// Guards against clients that wait for their timeouts when no path is left.
+#[test]
+fn flows_are_refused_at_once_when_no_path_is_left() {
+    let mut net = Net::start();
+    let tags = [net.b.clone(), net.c.clone()].concat();
+    net.cut(all(), &tags);
+    net.silence(1);
+    net.silence(2);
+    net.run(NOTICE_STEPS + 10);
+    let verdicts = net.run(200);
+    let refused = (0..200).filter(|at| verdicts[*at].1 == Verdict::Reset(ResetReason::NoBackend));
+    assert!(refused.count() >= 190);
+    assert!(all().all(|vm| !net.sim.vm(vm).is_ready()));
+}
+
+/// Guards against a distance of data centres that the clients' distance hides.
+#[test]
+fn extra_delay_is_the_difference_to_the_local_data_centre() {
+    let mut net = Net::start();
+    let extra = |net: &mut Net| net.sim.vm(1).paths().extra_delay(&DataCentreId::new("b"));
+    assert_eq!(extra(&mut net), None);
+    net.slow = net.b.iter().map(|tag| (*tag, 3)).collect();
+    net.run(1_000);
+    net.sim.put_backend(&backend(31, "a"));
+    net.run(200);
+    assert_eq!(extra(&mut net), Some(Millis(20)));
+}
