--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -169,6 +169,8 @@
         }
         for contact in &heartbeat.contacts {
             self.peers.add_contact(contact, now);
+            self.paths
+                .record_heard(&contact.data_centre, &heartbeat.data_centre, now);
         }
         self.observe_peer_era(&heartbeat.kind_reports, now);
         let is_local = heartbeat.data_centre == self.me.data_centre;
--- a/src/core/steering/paths/exchange.rs
+++ b/src/core/steering/paths/exchange.rs
@@ -13,6 +13,7 @@
         members::Member,
         tag::Tag, //
     },
+    Change,
     PathEvidence,
     PathReport,
     Paths, //
@@ -157,15 +158,17 @@
     }
 
     fn record_path_changes(&mut self, now: Time) {
-        for (data_centre, lost_for) in self.paths.take_changes(now) {
-            let decision = match lost_for {
-                Some(lost_for) => Decision::PathRestored {
+        for (data_centre, change) in self.paths.take_changes(now) {
+            let evidence = self.path_evidence(&data_centre, now);
+            let decision = match change {
+                Change::Confirmed if evidence == PathEvidence::LateHandshakes => continue,
+                Change::Lost | Change::Confirmed => Decision::PathLost {
                     data_centre,
-                    lost_for,
+                    evidence,
                 },
-                None => Decision::PathLost {
-                    evidence: self.path_evidence(&data_centre, now),
+                Change::Restored { lost_for } => Decision::PathRestored {
                     data_centre,
+                    lost_for,
                 },
             };
             self.decisions.push(decision);
@@ -182,12 +185,7 @@
         if !self.peers.is_hub() || live.any(is_there) {
             return PathEvidence::LateHandshakes;
         }
-        let mut contacts = self
-            .peers
-            .live(now)
-            .filter(|m| m.heartbeat.data_centre != self.me.data_centre)
-            .flat_map(|m| &m.heartbeat.contacts);
-        match contacts.any(|c| c.data_centre == *data_centre) {
+        match self.paths.is_heard_elsewhere(data_centre, now) {
             true => PathEvidence::HeardElsewhere,
             false => PathEvidence::NotHeard,
         }
--- a/src/core/steering/paths/mod.rs
+++ b/src/core/steering/paths/mod.rs
@@ -49,6 +49,13 @@
 /// events while a data centre is overloaded and its handshakes fail by turns.
 const MIN_LOGGED_TIME: Millis = Millis(1_000);
 
+/// Time from a loss to the second log entry of its evidence. VMs without power are
+/// then no longer heard elsewhere.
+const CONFIRM_AFTER: Millis = Millis(3_000);
+
+/// How long a sign that VMs are heard elsewhere is valid.
+const HEARD_TIME: Millis = Millis(1_000);
+
 /// Weight of a new handshake in the mean of a data centre.
 const SMOOTHING_FACTOR: f64 = 0.1;
 
@@ -98,6 +105,10 @@
     reported: Option<(Time, Time)>,
     /// Since when the loss is logged.
     logged_since: Option<Time>,
+    /// When the evidence is logged again. The silence of VMs shows only later.
+    confirm_at: Option<Time>,
+    /// When another data centre last heard VMs of the data centre.
+    heard_elsewhere: Option<Time>,
     next_probe: Time,
     next_trial: Time,
 }
@@ -122,6 +133,26 @@
         self.lost_here.is_some() || self.lost_to_all.is_some() || self.is_reported_lost(now)
     }
 
+    fn take_change(&mut self, is_first_hub: bool, now: Time) -> Option<Change> {
+        match (self.is_lost(now), self.logged_since) {
+            (true, None) => {
+                self.logged_since = Some(now);
+                self.confirm_at = Some(now + CONFIRM_AFTER);
+                Some(Change::Lost)
+            }
+            (true, Some(_)) if is_first_hub => {
+                let is_due = |at: &mut Time| now >= *at;
+                self.confirm_at.take_if(is_due).map(|_| Change::Confirmed)
+            }
+            (false, Some(since)) if now.since(since) >= MIN_LOGGED_TIME => {
+                self.logged_since = None;
+                let lost_for = now.since(since);
+                Some(Change::Restored { lost_for })
+            }
+            _ => None,
+        }
+    }
+
     /// Returns whether this VM has to find out whether the path works again.
     fn needs_trial(&self, now: Time) -> bool {
         self.lost_to_all.is_some() || (self.lost_here.is_some() && !self.is_reported_lost(now))
@@ -132,6 +163,17 @@
     }
 }
 
+/// Change of a path, for the log.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Lost,
+    /// The path is still lost, and more may be known of the reason.
+    Confirmed,
+    Restored {
+        lost_for: Millis,
+    },
+}
+
 /// Paths from this data centre to all data centres.
 #[derive(Debug)]
 pub struct Paths {
@@ -276,24 +318,31 @@
             .collect()
     }
 
-    /// Takes the data centres whose path was lost or restored since the last call,
-    /// with the time for which a restored one was lost.
-    fn take_changes(&mut self, now: Time) -> Vec<(DataCentreId, Option<Millis>)> {
-        let mut changes = Vec::new();
-        for (data_centre, path) in &mut self.paths {
-            match (path.is_lost(now), path.logged_since) {
-                (true, None) => {
-                    path.logged_since = Some(now);
-                    changes.push((data_centre.clone(), None));
-                }
-                (false, Some(since)) if now.since(since) >= MIN_LOGGED_TIME => {
-                    path.logged_since = None;
-                    changes.push((data_centre.clone(), Some(now.since(since))));
-                }
-                _ => {}
-            }
+    /// Takes the changes to log since the last call.
+    fn take_changes(&mut self, now: Time) -> Vec<(DataCentreId, Change)> {
+        let is_first_hub = self.is_first_hub;
+        let change = |(data_centre, path): (&DataCentreId, &mut Path)| {
+            let change = path.take_change(is_first_hub, now)?;
+            Some((data_centre.clone(), change))
+        };
+        self.paths.iter_mut().filter_map(change).collect()
+    }
+
+    /// Records that the data centre `by` hears VMs of another one.
+    pub fn record_heard(&mut self, data_centre: &DataCentreId, by: &DataCentreId, now: Time) {
+        if *by == self.local || by == data_centre {
+            return;
+        }
+        if let Some(path) = self.paths.get_mut(data_centre) {
+            path.heard_elsewhere = Some(now);
         }
-        changes
+    }
+
+    /// Returns whether another data centre hears VMs of the data centre.
+    fn is_heard_elsewhere(&self, data_centre: &DataCentreId, now: Time) -> bool {
+        let path = self.paths.get(data_centre);
+        let heard = path.and_then(|path| path.heard_elsewhere);
+        heard.is_some_and(|at| now.since(at) < HEARD_TIME)
     }
 
     /// Returns whether a hub reports that a path is lost.
--- a/tests/steering_paths.rs
+++ b/tests/steering_paths.rs
@@ -47,6 +47,13 @@
 /// Time by which new flows avoid a lost path.
 const NOTICE_STEPS: usize = 30;
 
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    OneDirection,
+    BothDirections,
+    NoPower,
+}
+
 struct Net {
     sim: Simulation,
     /// Backend servers in `b`.
@@ -107,11 +114,16 @@
         }
     }
 
-    /// Stops the heartbeats between `a` and the VMs of the data centre at `at`.
-    fn silence(&mut self, at: usize) {
-        let vms = at * VMS_PER_DATA_CENTRE..(at + 1) * VMS_PER_DATA_CENTRE;
-        for vm in 0..VMS_PER_DATA_CENTRE {
-            self.sim.partitions.extend(vms.clone().map(|o| (vm, o)));
+    /// Stops the heartbeats between the data centre at `at` and `a`, or all others.
+    fn silence(&mut self, at: usize, cut: Cut) {
+        let others = match cut {
+            Cut::OneDirection => 0..0,
+            Cut::BothDirections => all(),
+            Cut::NoPower => 0..3 * VMS_PER_DATA_CENTRE,
+        };
+        for vm in at * VMS_PER_DATA_CENTRE..(at + 1) * VMS_PER_DATA_CENTRE {
+            let pairs = others.clone().map(|o| (o.min(vm), o.max(vm)));
+            self.sim.partitions.extend(pairs);
         }
     }
 
@@ -220,17 +232,22 @@
 /// it has failed at each VM, and against a path that is never used again.
 #[test]
 fn flows_avoid_a_lost_path_until_it_works_again() {
-    for is_silent in [true, false] {
+    for (cut, expected) in [
+        (Cut::OneDirection, PathEvidence::LateHandshakes),
+        (Cut::BothDirections, PathEvidence::HeardElsewhere),
+        (Cut::NoPower, PathEvidence::NotHeard),
+    ] {
         let mut net = Net::start();
         let b = net.b.clone();
         net.cut(all(), &b);
-        if is_silent {
-            net.silence(1);
-        }
+        net.silence(1, cut);
         net.run(NOTICE_STEPS);
-        let verdicts = net.run(300);
-        assert_eq!(count_at(&verdicts, &b), 0, "silent: {is_silent}");
+        let verdicts = net.run(400);
+        assert_eq!(count_at(&verdicts, &b), 0, "{cut:?}");
         assert_eq!(net.losers("b").len(), VMS_PER_DATA_CENTRE);
+        let evidence = net.evidence();
+        let last = evidence.iter().rfind(|e| **e != PathEvidence::Reported);
+        assert_eq!(last, Some(&expected));
         net.sim.unresponsive.clear();
         net.sim.partitions.clear();
         net.run(200);
@@ -239,6 +256,24 @@
     }
 }
 
+/// Guards against clients that wait at each VM when a data centre without power gets
+/// few flows.
+#[test]
+fn one_late_handshake_suffices_if_no_vm_is_heard() {
+    let mut net = Net::start();
+    let b = net.b.clone();
+    net.silence(1, Cut::BothDirections);
+    net.run(100);
+    net.cut(all(), &b);
+    let sent = count_at(&net.run(3), &b);
+    assert!((1..3).contains(&sent), "{sent}");
+    for _ in 0..NOTICE_STEPS {
+        net.sim.run(STEP);
+        net.share_verdicts();
+    }
+    assert_eq!(net.losers("b").len(), VMS_PER_DATA_CENTRE);
+}
+
 /// Guards against a verdict from one backend server that fails at all VMs.
 #[test]
 fn one_backend_server_that_does_not_answer_is_no_lost_path() {
@@ -302,8 +337,8 @@
     let mut net = Net::start();
     let tags = [net.b.clone(), net.c.clone()].concat();
     net.cut(all(), &tags);
-    net.silence(1);
-    net.silence(2);
+    net.silence(1, Cut::BothDirections);
+    net.silence(2, Cut::BothDirections);
     net.run(NOTICE_STEPS + 10);
     let verdicts = net.run(200);
     let refused = (0..200).filter(|at| verdicts[*at].1 == Verdict::Reset(ResetReason::NoBackend));
@@ -318,7 +353,7 @@
     let extra = |net: &mut Net| net.sim.vm(1).paths().extra_delay(&DataCentreId::new("b"));
     assert_eq!(extra(&mut net), None);
     net.slow = net.b.iter().map(|tag| (*tag, 3)).collect();
-    net.run(1_000);
+    net.run(3_000);
     net.sim.put_backend(&backend(31, "a"));
     net.run(200);
     assert_eq!(extra(&mut net), Some(Millis(20)));
