--- a/src/core/steering/hubs.rs
+++ b/src/core/steering/hubs.rs
@@ -40,7 +40,7 @@
 const SELECTION_INTERVAL: Millis = Millis(100);
 
 /// Maximum number of peers in a full mesh.
-pub(super) const MAX_FULL_MESH: usize = 16;
+const MAX_FULL_MESH: usize = 16;
 
 const HUBS_PER_DATA_CENTRE: usize = 2;
 
@@ -53,6 +53,11 @@
         self.is_hub
     }
 
+    /// Returns whether all VMs exchange heartbeats with each other.
+    pub fn is_full_mesh(&self) -> bool {
+        self.known.len() <= MAX_FULL_MESH
+    }
+
     /// Returns whether all other VMs of this data centre that may be hubs are
     /// heard: selected ones, and those that rank before this VM. Those that were
     /// silent for longer than `MISSING_FOR` do not count. A peer of unknown
@@ -99,7 +104,7 @@
     pub(super) fn select_neighbours(&mut self, now: Time) {
         self.next_selection = now + SELECTION_INTERVAL;
         self.known.retain(|_, k| now.since(k.heard) < FORGET_AFTER);
-        if self.known.len() <= MAX_FULL_MESH {
+        if self.is_full_mesh() {
             self.is_hub = true;
             self.neighbours = self.known.keys().copied().collect();
             return;
--- a/src/core/steering/paths/evaluation.rs
+++ b/src/core/steering/paths/evaluation.rs
@@ -3,12 +3,12 @@
 use super::{
     super::tag::Tag,
     EVIDENCE_TIME,
-    LateHandshakes,
     MIN_LATE_BACKENDS,
     Path,
     PathReport,
     Paths,
-    VERDICT_TIME, //
+    VERDICT_TIME,
+    late_handshakes::LateHandshakes, //
 };
 use crate::{
     core::names::DataCentreId,
@@ -22,6 +22,10 @@
 /// VM finds lost is lost to that VM.
 const MIN_REPORTING_VMS: usize = 2;
 
+/// Minimum age of a handshake that counts in the sum. A VM that has reported a late
+/// one reports its completion at the earliest 100 ms later.
+const MIN_SHARED_AGE: Millis = Millis(125);
+
 /// Minimum interval between two heartbeats out of turn.
 const NOTIFICATION_INTERVAL: Millis = Millis(100);
 
@@ -48,11 +52,12 @@
     }
 
     /// Keeps the handshakes that count: late ones of the last second, sent after the
-    /// path last worked.
+    /// path last worked, whose completion would be known by now.
     fn retain_valid(&mut self, worked_at: Option<Time>, now: Time) {
         let worked_at = self.worked_at.max(worked_at);
+        let counts = MIN_SHARED_AGE..EVIDENCE_TIME;
         self.late.retain(|(_, sent_at, _)| {
-            now.since(*sent_at) < EVIDENCE_TIME && Some(*sent_at) > worked_at
+            counts.contains(&now.since(*sent_at)) && Some(*sent_at) > worked_at
         });
     }
 
@@ -106,8 +111,8 @@
     /// Updates the verdicts of this VM alone.
     pub(super) fn evaluate(&mut self) {
         for path in self.paths.values_mut() {
-            let first_sent = path.late.first_sent();
-            let is_lost = path.late.len() >= MIN_LATE_BACKENDS;
+            let (backends, first_sent) = path.late.count_since(path.cleared_at);
+            let is_lost = backends >= MIN_LATE_BACKENDS;
             update_verdict(
                 &mut path.lost_here,
                 first_sent.filter(|_| is_lost),
@@ -130,13 +135,13 @@
         for report in late.filter(|r| r.data_centre != self.local) {
             self.paths.entry(report.data_centre.clone()).or_default();
         }
-        let was_first_hub = std::mem::replace(&mut self.is_first_hub, true);
+        let was_sender = std::mem::replace(&mut self.is_sender, true);
         for (data_centre, path) in &mut self.paths {
             if *data_centre == self.local {
                 continue;
             }
             let was_lost = path.lost_to_all.is_some();
-            if !was_first_hub {
+            if !was_sender {
                 path.adopt_reported(now);
             }
             let mut sum = Sum::of(data_centre, reports);
@@ -144,13 +149,13 @@
             let lost_since = sum.lost_since(sum.late.is_empty() || is_heard(data_centre));
             let worked_at = sum.worked_at.max(path.worked_at);
             update_verdict(&mut path.lost_to_all, lost_since, worked_at);
-            self.has_changed |= was_lost != path.lost_to_all.is_some();
+            self.has_news |= !was_lost && path.lost_to_all.is_some();
         }
     }
 
     /// Drops the verdicts for all VMs, which another hub makes now.
     pub(super) fn leave_verdicts_to_others(&mut self, now: Time) {
-        self.is_first_hub = false;
+        self.is_sender = false;
         for path in self.paths.values_mut() {
             if path.lost_to_all.take().is_some() {
                 path.reported = Some((now, now + VERDICT_TIME));
@@ -159,9 +164,10 @@
     }
 
     /// Returns whether to send heartbeats out of turn because handshakes with further
-    /// backend servers are late.
+    /// backend servers are late, or the path works in spite of those reported.
     pub(super) fn take_notification(&mut self, now: Time) -> bool {
-        let is_new = |path: &Path| path.late.len() > path.notified;
+        let has_completed = |path: &Path| path.late.len() == 0 && path.notified > 0;
+        let is_new = |path: &Path| path.late.len() > path.notified || has_completed(path);
         let has_new = self.paths.values().any(is_new);
         if has_new && now < self.next_notification {
             return false;
@@ -177,7 +183,7 @@
 }
 
 impl Path {
-    /// Adopts the verdict of the hub that was first until now.
+    /// Adopts the verdict of the hub that sent it until now.
     fn adopt_reported(&mut self, now: Time) {
         if let Some((since, until)) = self.reported.take()
             && now < until
--- a/src/core/steering/paths/exchange.rs
+++ b/src/core/steering/paths/exchange.rs
@@ -9,7 +9,6 @@
         decision::Decision,
         directory::Fitness,
         directory_entry::Entry,
-        hubs::MAX_FULL_MESH,
         members::Member,
         tag::Tag, //
     },
@@ -29,7 +28,7 @@
 impl Steering {
     /// Evaluates the paths to other data centres.
     pub(in super::super) fn update_paths(&mut self, now: Time) {
-        if self.peers.known() <= MAX_FULL_MESH {
+        if self.peers.is_full_mesh() {
             self.paths.clear();
             return;
         }
@@ -120,10 +119,10 @@
         }
     }
 
-    /// Updates the verdicts for all VMs of this data centre, if this VM is its first
-    /// hub.
+    /// Updates the verdicts for all VMs of this data centre, if this VM is the hub
+    /// that sends them.
     fn update_shared_verdicts(&mut self, now: Time) {
-        if !self.peers.is_first_hub(now) {
+        if !self.sends_loads(now) {
             self.paths.leave_verdicts_to_others(now);
             return;
         }
@@ -140,6 +139,9 @@
             peers.live(now).any(is_there) || !peers.data_centres().contains(data_centre)
         };
         self.paths.on_reports(&reports, is_heard, now);
+        if self.paths.take_news(now) {
+            self.send_loads(now);
+        }
     }
 
     /// Probes a backend server behind each lost path.
--- a/src/core/steering/paths/late_handshakes.rs
+++ b/src/core/steering/paths/late_handshakes.rs
@@ -45,9 +45,12 @@
         self.sent.len()
     }
 
-    /// Returns when the first of the packets was sent.
-    pub(super) fn first_sent(&self) -> Option<Time> {
-        self.sent.iter().map(|(_, at)| *at).min()
+    /// Returns the number of backend servers to which packets were sent at `since` or
+    /// later, and when the first of these packets was sent.
+    pub(super) fn count_since(&self, since: Time) -> (usize, Option<Time>) {
+        let sent = self.sent.iter().map(|(_, at)| *at);
+        let sent = sent.filter(|at| *at >= since);
+        (sent.clone().count(), sent.min())
     }
 
     /// Returns the backend servers with the time since the packets were sent.
--- a/src/core/steering/paths/mod.rs
+++ b/src/core/steering/paths/mod.rs
@@ -18,12 +18,13 @@
 mod evaluation;
 mod exchange;
 mod late_handshakes;
+mod path;
 
-use self::late_handshakes::LateHandshakes;
-use super::{
-    handshakes::late_after,
-    tag::Tag, //
+use self::path::{
+    Change,
+    Path, //
 };
+use super::tag::Tag;
 use crate::{
     core::names::DataCentreId,
     kernel::clock::{
@@ -41,18 +42,13 @@
 /// How long a hub's verdict is valid without renewal.
 const VERDICT_TIME: Millis = Millis(1_500);
 
+/// Minimum interval between two sums out of turn, which bounds the traffic of a hub.
+const NEWS_INTERVAL: Millis = Millis(250);
+
 /// Interval between two trials of a lost path: probes, and flows that no other
 /// backend server can take.
 const TRIAL_INTERVAL: Millis = Millis(1_000);
 
-/// A loss that ends sooner is logged as ended only then, which bounds the number of
-/// events while a data centre is overloaded and its handshakes fail by turns.
-const MIN_LOGGED_TIME: Millis = Millis(1_000);
-
-/// Time from a loss to the second log entry of its evidence. VMs without power are
-/// then no longer heard elsewhere.
-const CONFIRM_AFTER: Millis = Millis(3_000);
-
 /// How long a sign that VMs are heard elsewhere is valid.
 const HEARD_TIME: Millis = Millis(1_000);
 
@@ -87,93 +83,6 @@
     Reported,
 }
 
-/// Path to one data centre.
-#[derive(Debug, Default)]
-struct Path {
-    /// Moving average of the handshake times in milliseconds.
-    mean_ms: Option<f64>,
-    /// Latest time at which the path is known to have worked.
-    worked_at: Option<Time>,
-    late: LateHandshakes,
-    /// Number of late backend servers that the hubs were told of.
-    notified: usize,
-    /// Verdict of this VM alone: when the first of the late packets was sent.
-    lost_here: Option<Time>,
-    /// Verdict for the data centre, if this VM is its first hub.
-    lost_to_all: Option<Time>,
-    /// When a hub first reported the loss, and until when the report is valid.
-    reported: Option<(Time, Time)>,
-    /// Since when the loss is logged.
-    logged_since: Option<Time>,
-    /// When the evidence is logged again. The silence of VMs shows only later.
-    confirm_at: Option<Time>,
-    /// When another data centre last heard VMs of the data centre.
-    heard_elsewhere: Option<Time>,
-    next_probe: Time,
-    next_trial: Time,
-}
-
-impl Path {
-    fn has_worked_since(&self, since: Time) -> bool {
-        self.worked_at.is_some_and(|at| at >= since)
-    }
-
-    fn record_working(&mut self, at: Time) {
-        self.worked_at = self.worked_at.max(Some(at));
-    }
-
-    /// Returns whether a hub reports the loss, and no flow of this VM shows that its
-    /// own path works.
-    fn is_reported_lost(&self, now: Time) -> bool {
-        self.reported
-            .is_some_and(|(since, until)| now < until && !self.has_worked_since(since))
-    }
-
-    fn is_lost(&self, now: Time) -> bool {
-        self.lost_here.is_some() || self.lost_to_all.is_some() || self.is_reported_lost(now)
-    }
-
-    fn take_change(&mut self, is_first_hub: bool, now: Time) -> Option<Change> {
-        match (self.is_lost(now), self.logged_since) {
-            (true, None) => {
-                self.logged_since = Some(now);
-                self.confirm_at = Some(now + CONFIRM_AFTER);
-                Some(Change::Lost)
-            }
-            (true, Some(_)) if is_first_hub => {
-                let is_due = |at: &mut Time| now >= *at;
-                self.confirm_at.take_if(is_due).map(|_| Change::Confirmed)
-            }
-            (false, Some(since)) if now.since(since) >= MIN_LOGGED_TIME => {
-                self.logged_since = None;
-                let lost_for = now.since(since);
-                Some(Change::Restored { lost_for })
-            }
-            _ => None,
-        }
-    }
-
-    /// Returns whether this VM has to find out whether the path works again.
-    fn needs_trial(&self, now: Time) -> bool {
-        self.lost_to_all.is_some() || (self.lost_here.is_some() && !self.is_reported_lost(now))
-    }
-
-    fn late_after(&self, at_least: Millis) -> Millis {
-        late_after(self.mean_ms).max(at_least)
-    }
-}
-
-/// Change of a path, for the log.
-#[derive(Clone, Copy, Debug)]
-enum Change {
-    Lost,
-    /// The path is still lost, and more may be known of the reason.
-    Confirmed,
-    Restored {
-        lost_for: Millis,
-    },
-}
-
 /// Paths from this data centre to all data centres.
 #[derive(Debug)]
 pub struct Paths {
@@ -183,12 +92,14 @@
     paths: BTreeMap<DataCentreId, Path>,
     /// Earliest time of the next heartbeats out of turn.
     next_notification: Time,
-    /// Whether this VM is the first hub, which makes the verdicts for all VMs of its
-    /// data centre.
-    is_first_hub: bool,
-    /// Whether the verdicts of the first hub changed since the last call of
-    /// [`Paths::take_change`].
-    has_changed: bool,
+    /// Whether this VM is the hub that sends the load sums, which makes the verdicts
+    /// for all VMs of its data centre.
+    is_sender: bool,
+    /// Whether a path became lost to all VMs since the last call of
+    /// [`Paths::take_news`].
+    has_news: bool,
+    /// Earliest time of the next sums out of turn.
+    next_news: Time,
 }
 
 impl Paths {
@@ -198,8 +109,9 @@
             local,
             paths: BTreeMap::new(),
             next_notification: Time::default(),
-            is_first_hub: false,
-            has_changed: false,
+            is_sender: false,
+            has_news: false,
+            next_news: Time::default(),
         }
     }
 
@@ -243,22 +155,28 @@
         Some(Millis(extra.max(0.0).round() as u64))
     }
 
-    /// Returns the lost paths, if this VM is the first hub.
-    pub fn lost_to_all(&self) -> Vec<DataCentreId> {
-        let lost = self.paths.iter().filter(|(_, p)| p.lost_to_all.is_some());
+    /// Returns the paths that are lost to all VMs of this data centre, by the verdict
+    /// of this VM or of the hub that sent the last one.
+    pub fn lost_to_all(&self, now: Time) -> Vec<DataCentreId> {
+        let is_lost = |path: &Path| path.lost_to_all.is_some() || path.is_reported_lost(now);
+        let lost = self.paths.iter().filter(|(_, path)| is_lost(path));
         lost.map(|(data_centre, _)| data_centre.clone()).collect()
     }
 
-    /// Returns whether [`Paths::lost_to_all`] changed since the last call, so that it
+    /// Returns whether a path became lost to all VMs since the last call, so that it
     /// must be sent at once.
-    pub fn take_change(&mut self) -> bool {
-        std::mem::take(&mut self.has_changed)
+    fn take_news(&mut self, now: Time) -> bool {
+        if !self.has_news || now < self.next_news {
+            return false;
+        }
+        self.next_news = now + NEWS_INTERVAL;
+        std::mem::take(&mut self.has_news)
     }
 
-    /// Records the lost paths that the first hub reports. Two hubs that both consider
-    /// themselves first ignore each other's verdicts, which would renew them for ever.
+    /// Records the lost paths that a hub of this data centre reports. Two hubs that both
+    /// send verdicts ignore each other's verdicts, which would renew them for ever.
     pub fn record_verdicts(&mut self, lost: &[DataCentreId], now: Time) {
-        if self.is_first_hub {
+        if self.is_sender {
             return;
         }
         for data_centre in lost {
@@ -271,8 +189,9 @@
         }
         for (data_centre, path) in &mut self.paths {
             if !lost.contains(data_centre) && path.reported.take().is_some() {
-                // Another VM has shown that the path works.
-                path.record_working(now);
+                // Another VM has shown that the path works. This VM has not, so it does
+                // not report so.
+                path.cleared_at = now;
                 path.lost_here = None;
             }
         }
@@ -320,9 +239,9 @@
 
     /// Takes the changes to log since the last call.
     fn take_changes(&mut self, now: Time) -> Vec<(DataCentreId, Change)> {
-        let is_first_hub = self.is_first_hub;
+        let is_sender = self.is_sender;
         let change = |(data_centre, path): (&DataCentreId, &mut Path)| {
-            let change = path.take_change(is_first_hub, now)?;
+            let change = path.take_change(is_sender, now)?;
             Some((data_centre.clone(), change))
         };
         self.paths.iter_mut().filter_map(change).collect()
@@ -353,7 +272,7 @@
 
     /// Forgets all verdicts.
     fn clear(&mut self) {
-        self.is_first_hub = false;
+        self.is_sender = false;
         self.paths.values_mut().for_each(|path| {
             (path.lost_here, path.lost_to_all, path.reported) = Default::default()
         });
