--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -159,7 +159,7 @@
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
             loads: self.loads_for(to, now),
             routes: self.route_arrivals.demand().to_vec(),
-            paths: Vec::new(),
+            paths: self.paths.report(now),
             dead: self.detector.dead_or_unconfirmed().collect(),
             stalled: self.stalls.found().collect(),
             takeovers: self.takeovers.export(),
@@ -175,6 +175,8 @@
         }
         for contact in &heartbeat.contacts {
             self.peers.add_contact(contact, now);
+            self.paths
+                .record_heard(&contact.data_centre, &heartbeat.data_centre, now);
         }
         self.observe_peer_era(&heartbeat.kind_reports, now);
         let is_local = heartbeat.data_centre == self.me.data_centre;
--- a/src/core/steering/loads/exchange.rs
+++ b/src/core/steering/loads/exchange.rs
@@ -28,7 +28,9 @@
         if !self.peers.is_local(loads.origin.hub) {
             return;
         }
+        let lost_paths = loads.lost_paths.clone();
         if self.remote_loads.record_fleet(loads, now) {
+            self.paths.record_verdicts(&lost_paths, now);
             self.load_sender.record_other(now);
         }
     }
@@ -84,7 +86,7 @@
 
     /// Returns whether this VM sends sums: as the first hub, or as long as no other
     /// hub is heard to send them.
-    fn sends_loads(&self, now: Time) -> bool {
+    pub(in super::super) fn sends_loads(&self, now: Time) -> bool {
         if self.remote_loads.scope != Scope::Hub {
             return false;
         }
@@ -118,7 +120,7 @@
     }
 
     /// Returns the data centres that cannot be reached from this one.
-    pub(super) fn lost_paths(&self, _now: Time) -> Vec<DataCentreId> {
-        Vec::new()
+    pub(super) fn lost_paths(&self, now: Time) -> Vec<DataCentreId> {
+        self.paths.lost_to_all(now)
     }
 }
--- a/src/core/steering/loads/sending.rs
+++ b/src/core/steering/loads/sending.rs
@@ -127,7 +127,7 @@
 
 impl Steering {
     /// Sends the sums to the VMs of this data centre and the hubs of the others.
-    pub(super) fn send_loads(&mut self, now: Time) {
+    pub(in super::super) fn send_loads(&mut self, now: Time) {
         let own = self.own_loads(now);
         self.send_to_members(&own, now);
         self.send_to_data_centres(&own, now);
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -90,6 +90,7 @@
     RouteArrivals, //
 };
 use members::Members;
+use paths::Paths;
 use peers::{
     Contact,
     FleetRecord, //
@@ -144,6 +145,7 @@
     capability: Capability,
     stalls: Stalls,
     handshakes: Handshakes,
+    paths: Paths,
     unlisted: UnlistedTags,
     peers: Members,
     /// VM that holds replicas of this VM's flows.
@@ -189,7 +191,6 @@
             takeovers: Takeovers::default(),
             registration: Registration::default(),
             admission: SnapshotAdmission::default(),
-            me,
             routing: Routing::default(),
             directory: Directory::default(),
             flows: FlowTable::default(),
@@ -201,6 +202,7 @@
             capability: Capability::default(),
             stalls: Stalls::default(),
             handshakes: Handshakes::default(),
+            paths: Paths::open(me.data_centre.clone()),
             unlisted: UnlistedTags::default(),
             remote_loads: RemoteLoads::default(),
             load_sender: LoadSender::default(),
@@ -215,6 +217,7 @@
             actions: Vec::new(),
             decisions: Vec::new(),
             response_samples: Vec::new(),
+            me,
         }
     }
 
@@ -279,6 +282,7 @@
         self.reset_ended_backends(now);
         self.reset_unlisted(now);
         self.remove_lost_peers(now);
+        self.update_paths(now);
         self.probe_unopened(now);
         self.send_probes(now);
         self.reset_lost_flows(now);
@@ -364,7 +368,8 @@
     /// routers send its clients to other VMs.
     fn update_readiness(&mut self, now: Time) {
         let has_available = self.available_backends(now).next().is_some();
-        let can_serve = self.is_synced() && (has_available || self.has_no_backend());
+        let has_no_alternative = self.has_no_backend() || self.is_without_alternative(now);
+        let can_serve = self.is_synced() && (has_available || has_no_alternative);
         if self.readiness.update(can_serve, now) {
             let is_ready = self.readiness.is_ready;
             let backends = self.available_backends(now).count();
@@ -378,6 +383,7 @@
         self.directory
             .iter()
             .filter(move |(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
+            .filter(move |(_, e)| !self.paths.is_lost(&e.server.data_centre, now))
             .map(|(tag, _)| tag)
             .filter(|tag| self.detector.health(*tag) < HealthState::Unreachable)
             .filter(|tag| !self.detector.is_unconfirmed(*tag))
