Admission control of new flows by route priority

Cause: under overload a fifth of all new flows goes to full backend servers, and the most urgent kind fares no better than the others. Change: a service whose routes differ in priority accepts a share of the first tries of each priority, adjusted four times a second to the sums of all VMs.

--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -101,4 +101,6 @@
     7017 StoreRestored Warn "The store was restored from an older copy and has lost its last changes.";
     7018 ConfigurationHeldBack Warn "A configuration that is older than the active one was not activated.";
     7019 BackendsDoubted Warn "A restored store lists backend servers that drain, have left or have started again; they get no new flows.";
+    7020 OverloadStarted Warn "A service has too little capacity; new flows of less urgent routes are refused.";
+    7021 OverloadEnded Info "A service has capacity again; new flows are no longer refused.";
 }
--- a/src/core/steering/admission/mod.rs
+++ b/src/core/steering/admission/mod.rs
@@ -1,1 +1,275 @@
-//! Which new flows are refused while a service has too little room.
+//! Admission control: which new flows are refused while a service has too little
+//! capacity.
+//!
+//! Designed for a fleet whose VMs share the load of a service as sums that are up
+//! to 1.25 s old. Flows of less urgent routes are refused first, by the same share
+//! at all VMs. A refusal is a reset of the first packet, so the request has not
+//! run. Without recent sums, or if all routes of a service have the same priority,
+//! nothing is refused.
+
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+
+use derive_more::Display;
+use hashbrown::HashMap;
+
+pub mod arrivals;
+pub mod clients;
+pub mod load;
+pub mod share;
+pub mod steering;
+
+use arrivals::{
+    FlowCounts,
+    RouteArrivals, //
+};
+use clients::UnservedClients;
+use load::{
+    RouteLoad,
+    ServiceLoad, //
+};
+use share::{
+    Shares,
+    UPDATE_INTERVAL, //
+};
+
+use super::loads::message::RouteDemand;
+use crate::{
+    core::names::ServiceId,
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
+};
+
+/// Age from which a measurement is not used.
+pub const MAX_AGE: Millis = Millis(1_500);
+
+/// Admission control of one VM.
+#[derive(Debug, Default)]
+pub struct Admission {
+    /// Services whose routes differ in priority.
+    services: HashMap<ServiceId, Shares>,
+    /// Routes to these services.
+    routes: HashMap<SocketAddrV4, RouteState>,
+    unserved_clients: UnservedClients,
+    /// Demand of this VM's clients.
+    own_demand: Vec<RouteDemand>,
+    measured_at: Time,
+}
+
+/// State of one route.
+#[derive(Debug)]
+struct RouteState {
+    /// Accepted share of the priority.
+    share: f64,
+    /// Whether an answer would come after the timeout of the route.
+    is_too_late: bool,
+    arrivals: RouteArrivals,
+}
+
+/// Decision on a new flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Accepted.
+    Accept,
+    /// Refused at once.
+    Refuse(Refusal),
+}
+
+/// Reason for a refusal.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Refusal {
+    /// The flow exceeds the accepted share of its priority.
+    #[display("share")]
+    Share,
+    /// The retry exceeds the budget of its route.
+    #[display("retry_budget")]
+    RetryBudget,
+    /// The answer would come after the client's timeout.
+    #[display("timeout")]
+    Timeout,
+}
+
+impl Refusal {
+    /// All reasons.
+    pub const ALL: [Refusal; 3] = [Refusal::Share, Refusal::RetryBudget, Refusal::Timeout];
+}
+
+/// Start or end of refusals at a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OverloadChange {
+    /// Service.
+    pub service: ServiceId,
+    /// Whether flows are refused now.
+    pub is_overloaded: bool,
+    /// Slots of the backend servers that may get flows.
+    pub slots: u32,
+    /// Outstanding requests over the slots, in percent.
+    pub utilization_percent: u32,
+    /// New flows per second at all VMs.
+    pub arrivals_per_s: u32,
+    /// Age of the measurement.
+    pub age: Millis,
+}
+
+impl Admission {
+    /// Returns whether the next measurement is due.
+    pub fn is_due(&self, now: Time) -> bool {
+        now.since(self.measured_at) >= UPDATE_INTERVAL
+    }
+
+    /// Measures the rates of this VM and adds them to the demand of its clients.
+    pub fn measure(&mut self, mut demand: Vec<RouteDemand>, now: Time) {
+        let elapsed = now.since(self.measured_at);
+        self.measured_at = now;
+        for route in self.routes.values_mut() {
+            route.arrivals.measure(elapsed);
+        }
+        for sum in &mut demand {
+            if let Some(state) = self.routes.get(&sum.route) {
+                sum.arrivals_per_s = state.arrivals.arrivals_per_s.round() as u32;
+                sum.refused_per_s = state.arrivals.refused_per_s.round() as u32;
+            }
+        }
+        self.own_demand = demand;
+        self.unserved_clients.sweep(now);
+    }
+
+    /// Adjusts the accepted shares to the load of the services. Returns the starts
+    /// and ends of refusals, in the order of `loads`.
+    pub fn update(&mut self, loads: &[ServiceLoad]) -> Vec<OverloadChange> {
+        self.select_services(loads);
+        let mut changes = Vec::new();
+        for load in loads.iter().filter(|l| l.has_priorities()) {
+            changes.extend(self.update_service(load));
+        }
+        changes
+    }
+
+    /// Decides on the first packet of a new flow. `was_rejected` tells whether a
+    /// backend server has just rejected another flow of the client.
+    pub fn decide(
+        &mut self,
+        client: Ipv4Addr,
+        route: SocketAddrV4,
+        was_rejected: bool,
+        now: Time,
+    ) -> Verdict {
+        let Some(state) = self.routes.get_mut(&route) else {
+            return Verdict::Accept;
+        };
+        let clients = &mut self.unserved_clients;
+        let is_retry = clients.take_retry(client, route, now) || was_rejected;
+        if let Some(refusal) = state.find_refusal(is_retry) {
+            state.arrivals.record_refusal(refusal, is_retry);
+            clients.record_refusal(client, route, now);
+            return Verdict::Refuse(refusal);
+        }
+        if state.share < 1.0 {
+            clients.record_opening(client, route, now);
+        }
+        Verdict::Accept
+    }
+
+    /// Records that a flow of a client opened.
+    pub fn record_opened(&mut self, client: Ipv4Addr, route: SocketAddrV4) {
+        self.unserved_clients.record_opened(client, route);
+    }
+
+    /// Returns the demand of this VM's clients at the last measurement.
+    pub fn own_demand(&self) -> &[RouteDemand] {
+        &self.own_demand
+    }
+
+    /// Iterates over the routes under admission control, in arbitrary order, with
+    /// their counts.
+    pub fn counts(&self) -> impl Iterator<Item = (SocketAddrV4, FlowCounts)> {
+        self.routes.iter().map(|(at, r)| (*at, r.arrivals.counts))
+    }
+
+    /// Returns the accepted share of the first tries on a route.
+    pub fn accepted_share(&self, route: SocketAddrV4) -> f64 {
+        self.routes.get(&route).map_or(1.0, |r| r.share)
+    }
+
+    fn update_service(&mut self, load: &ServiceLoad) -> Option<OverloadChange> {
+        let shares = self.services.get_mut(&load.service)?;
+        let was_overloaded = shares.is_refusing();
+        let is_known = load.age <= MAX_AGE;
+        match is_known {
+            true => shares.update(load),
+            false => shares.reset(),
+        }
+        for route in &load.routes {
+            if let Some(state) = self.routes.get_mut(&route.demand.route) {
+                state.share = shares.accepted(route.priority);
+                state.is_too_late = is_known && is_too_late(load, route);
+            }
+        }
+        let is_overloaded = shares.is_refusing();
+        (is_overloaded != was_overloaded).then(|| OverloadChange {
+            service: load.service.clone(),
+            is_overloaded,
+            slots: load.slots as u32,
+            utilization_percent: (load.utilization * 100.0) as u32,
+            arrivals_per_s: load.routes.iter().map(|r| r.demand.arrivals_per_s).sum(),
+            age: load.age,
+        })
+    }
+
+    /// Keeps the state of the services and routes that are under admission control.
+    fn select_services(&mut self, loads: &[ServiceLoad]) {
+        let selected = || loads.iter().filter(|l| l.has_priorities());
+        self.services
+            .retain(|name, _| selected().any(|l| l.service == *name));
+        let is_selected = |at: &SocketAddrV4| {
+            let mut routes = selected().flat_map(|l| &l.routes);
+            routes.any(|r| r.demand.route == *at)
+        };
+        self.routes.retain(|at, _| is_selected(at));
+        for load in selected() {
+            self.services.entry(load.service.clone()).or_default();
+            for route in &load.routes {
+                self.routes.entry(route.demand.route).or_default();
+            }
+        }
+    }
+}
+
+impl Default for RouteState {
+    fn default() -> RouteState {
+        RouteState {
+            share: 1.0,
+            is_too_late: false,
+            arrivals: RouteArrivals::default(),
+        }
+    }
+}
+
+impl RouteState {
+    fn find_refusal(&mut self, is_retry: bool) -> Option<Refusal> {
+        let is_within_limits = match is_retry {
+            true => self.arrivals.admit_retry(self.share < 1.0),
+            false => self.arrivals.admit_first_try(self.share),
+        };
+        if self.is_too_late {
+            return Some(Refusal::Timeout);
+        }
+        match is_within_limits {
+            true => None,
+            false if is_retry => Some(Refusal::RetryBudget),
+            false => Some(Refusal::Share),
+        }
+    }
+}
+
+/// Returns whether the clients of a route would have given up before the answer.
+/// While a slot is free, a long response time is not a matter of load.
+fn is_too_late(load: &ServiceLoad, route: &RouteLoad) -> bool {
+    let has_timeout = route.timeout > Millis(0);
+    let is_slow = load.response_time.is_some_and(|t| t > route.timeout);
+    has_timeout && is_slow && load.utilization >= 1.0
+}
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use super::{
+    admission::OverloadChange,
     directory::Fitness,
     evidence::Evidence,
     packet::{
@@ -164,6 +165,8 @@
         /// Kind of the objects that were requested.
         kind: Kind,
     },
+    /// Refusals of new flows started or ended at a service.
+    OverloadChanged(OverloadChange),
     /// A peer was heard for the first time, or is no longer heard.
     PeerHeard {
         /// Whether it is heard.
@@ -197,6 +200,8 @@
             Decision::TakenOver { .. } => Notice::DataCentreTakenOver,
             Decision::StoreAnswers { answers: true, .. } => Notice::StoreRegained,
             Decision::StoreAnswers { .. } => Notice::StoreLost,
+            Decision::OverloadChanged(c) if c.is_overloaded => Notice::OverloadStarted,
+            Decision::OverloadChanged(_) => Notice::OverloadEnded,
             Decision::PeerHeard { is_heard: true, .. } => Notice::PeerFound,
             Decision::PeerHeard { .. } => Notice::PeerSilent,
         }
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -152,7 +152,7 @@
             kind_reports: self.sync.reports(now),
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
             loads: self.flows.loads().map(load).collect(),
-            routes: Vec::new(),
+            routes: self.flow_admission.own_demand().to_vec(),
             paths: Vec::new(),
             dead: self.detector.dead_or_unconfirmed().collect(),
             stalled: self.stalls.found().collect(),
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -4,6 +4,8 @@
 //! not show: which clients wait for a backend server, whether it still answers,
 //! and its load.
 
+use std::net::SocketAddrV4;
+
 use hashbrown::HashMap;
 
 use super::{
@@ -83,6 +85,11 @@
         waiting.map(move |f| (f.tag, now.since(f.waiting_since)))
     }
 
+    /// Iterates over the routes of all flows, and whether the client waits.
+    pub fn routes(&self) -> impl Iterator<Item = (SocketAddrV4, bool)> {
+        self.flows.iter().map(|(id, f)| (id.service, f.is_waiting))
+    }
+
     /// Returns the backend servers tried for an opening flow, and whether
     /// `copy` was seen before. `None` if the flow is new.
     pub fn handshake_attempts(&self, id: &FlowId, copy: u32, now: Time) -> Option<(&[Tag], bool)> {
--- a/src/core/steering/handshakes.rs
+++ b/src/core/steering/handshakes.rs
@@ -69,19 +69,21 @@
 
 impl Handshakes {
     /// Handles a new flow of a client. If the client's previous attempt failed
-    /// recently, its backend server is marked as rejecting.
-    pub fn detect_retry(&mut self, client: Ipv4Addr, now: Time) {
+    /// recently, its backend server is marked as rejecting. Returns whether it is.
+    pub fn detect_retry(&mut self, client: Ipv4Addr, now: Time) -> bool {
         let Some(last) = self.attempts.remove(&client) else {
-            return;
+            return false;
         };
         // Two users behind one client address may open flows at the same time.
         let rejected_after = self
             .mean_ms
             .map(|mean_ms| Millis((REJECTED_FACTOR * mean_ms) as u64));
         let is_retry = |after: Millis| (after..RETRY_WINDOW).contains(&now.since(last.at));
-        if rejected_after.is_some_and(is_retry) {
+        let was_rejected = rejected_after.is_some_and(is_retry);
+        if was_rejected {
             self.rejecting.insert(last.tag, now);
         }
+        was_rejected
     }
 
     /// Records that a client's opening packet was forwarded to a backend
--- a/src/core/steering/loads/message.rs
+++ b/src/core/steering/loads/message.rs
@@ -88,6 +88,8 @@
     pub route: SocketAddrV4,
     /// Requests that are outstanding.
     pub outstanding: u32,
+    /// Flows, including those that are opening.
+    pub flows: u32,
     /// New flows per second, those that were refused included.
     pub arrivals_per_s: u32,
     /// New flows per second that were refused.
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -65,6 +65,7 @@
 mod takeover;
 
 pub use action::Action;
+use admission::Admission;
 use cold::ColdBudget;
 use cold_grants::{
     ColdAssignments,
@@ -147,6 +148,7 @@
     takeovers: Takeovers,
     registration: Registration,
     admission: SnapshotAdmission,
+    flow_admission: Admission,
     remote_loads: RemoteLoads,
     sync: SyncState,
     /// Invariant: one per kind, in the order of [`Kind::ALL`].
@@ -181,6 +183,7 @@
             takeovers: Takeovers::default(),
             registration: Registration::default(),
             admission: SnapshotAdmission::default(),
+            flow_admission: Admission::default(),
             me,
             routing: Routing::default(),
             directory: Directory::default(),
@@ -275,6 +278,7 @@
         self.replicate(now);
         self.request_unknown(now);
         self.update_stalls(now);
+        self.update_admission(now);
         if self.cold_assignments.is_due(now) {
             self.assign_cold(now);
         }
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -68,7 +68,10 @@
             match self.flows.handshake_attempts(&packet.flow, copy, now) {
                 None => {
                     let client = *packet.flow.client.ip();
-                    self.handshakes.detect_retry(client, now);
+                    let was_rejected = self.handshakes.detect_retry(client, now);
+                    if !self.admits(packet, copy, was_rejected, now) {
+                        return Verdict::Reset(ResetReason::Overload);
+                    }
                     SmallVec::new()
                 }
                 // A packet may be duplicated on the way.
@@ -225,6 +228,8 @@
                 self.detector.mark_alive(tag, now);
                 let client = *packet.flow.client.ip();
                 self.handshakes.record_success(client, tag, elapsed);
+                self.flow_admission
+                    .record_opened(client, packet.flow.service);
             }
             BackendSignal::Answered { tag, elapsed } => {
                 self.detector.mark_alive(tag, now);
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -144,6 +144,10 @@
             replicas,
         } => log_decision!(decision, %data_centre, replicas),
         Decision::StoreAnswers { answers, kind } => log_decision!(decision, answers, %kind),
+        Decision::OverloadChanged(c) => {
+            let (slots, utilization_percent) = (c.slots, c.utilization_percent);
+            log_decision!(decision, service = %c.service, slots, utilization_percent, arrivals_per_s = c.arrivals_per_s, age_ms = c.age.0);
+        }
         Decision::PeerHeard {
             is_heard,
             vm,
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -17,6 +17,7 @@
 use crate::{
     core::steering::{
         Steering,
+        admission::Refusal,
         decision::Decision,
         failure_detector::ProbeOutcome, //
         packet::Verdict,
@@ -59,6 +60,12 @@
     kind: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RouteLabels {
+    route: String,
+    reason: String,
+}
+
 /// The counters and histograms that the I/O tasks update.
 #[derive(Debug)]
 pub struct Metrics {
@@ -158,6 +165,7 @@
         let mut registry = Registry::with_prefix(PREFIX);
         self.add_counters(&mut registry);
         add_state_gauges(&mut registry, steering, now);
+        add_admission_counters(&mut registry, steering);
         add_gauge(
             &mut registry,
             "log_lines_lost",
@@ -210,6 +218,30 @@
     }
 }
 
+/// Adds the new flows of the routes under admission control: `first_try` and `retry`
+/// count all of them, the reasons for a refusal those that were refused.
+fn add_admission_counters(registry: &mut Registry, steering: &Steering) {
+    let flows: Family<RouteLabels, Counter> = Family::default();
+    for (route, counts) in steering.admission_counts() {
+        let add = |reason: String, count: u64| {
+            let route = route.to_string();
+            flows
+                .get_or_create(&RouteLabels { route, reason })
+                .inc_by(count);
+        };
+        add("first_try".to_owned(), counts.first_tries);
+        add("retry".to_owned(), counts.retries);
+        for (refusal, count) in Refusal::ALL.into_iter().zip(counts.refused) {
+            add(format!("refused_{refusal}"), count);
+        }
+    }
+    registry.register(
+        "admission_flows",
+        "New flows on routes whose service has routes of different priority",
+        flows,
+    );
+}
+
 fn add_state_gauges(registry: &mut Registry, steering: &Steering, now: Time) {
     let stats = steering.stats(now);
     let ages: Family<KindLabels, prometheus_client::metrics::gauge::Gauge> = Family::default();
