--- a/src/core/steering/admission/load.rs
+++ b/src/core/steering/admission/load.rs
@@ -19,8 +19,9 @@
     ///
     /// Invariant: at least 1.
     pub slots: f64,
-    /// Age of the oldest part of the measurement.
-    pub age: Millis,
+    /// Age of the oldest part of the measurement. `None` if it does not cover all
+    /// VMs.
+    pub age: Option<Millis>,
     /// Usual response time, if known.
     pub response_time: Option<Millis>,
     /// Routes that lead to the service.
--- a/src/core/steering/admission/mod.rs
+++ b/src/core/steering/admission/mod.rs
@@ -15,16 +15,12 @@
 use derive_more::Display;
 use hashbrown::HashMap;
 
-pub mod arrivals;
 pub mod clients;
 pub mod load;
 pub mod share;
 pub mod steering;
+pub mod tries;
 
-use arrivals::{
-    FlowCounts,
-    RouteArrivals, //
-};
 use clients::UnservedClients;
 use load::{
     RouteLoad,
@@ -34,8 +30,11 @@
     Shares,
     UPDATE_INTERVAL, //
 };
+use tries::{
+    FlowCounts,
+    Tries, //
+};
 
-use super::loads::message::RouteDemand;
 use crate::{
     core::names::ServiceId,
     kernel::clock::{
@@ -55,9 +54,7 @@
     /// Routes to these services.
     routes: HashMap<SocketAddrV4, RouteState>,
     unserved_clients: UnservedClients,
-    /// Demand of this VM's clients.
-    own_demand: Vec<RouteDemand>,
-    measured_at: Time,
+    next_update: Time,
 }
 
 /// State of one route.
@@ -67,7 +64,7 @@
     share: f64,
     /// Whether an answer would come after the timeout of the route.
     is_too_late: bool,
-    arrivals: RouteArrivals,
+    tries: Tries,
 }
 
 /// Decision on a new flow.
@@ -116,26 +113,15 @@
 }
 
 impl Admission {
-    /// Returns whether the next measurement is due.
-    pub fn is_due(&self, now: Time) -> bool {
-        now.since(self.measured_at) >= UPDATE_INTERVAL
-    }
-
-    /// Measures the rates of this VM and adds them to the demand of its clients.
-    pub fn measure(&mut self, mut demand: Vec<RouteDemand>, now: Time) {
-        let elapsed = now.since(self.measured_at);
-        self.measured_at = now;
-        for route in self.routes.values_mut() {
-            route.arrivals.measure(elapsed);
+    /// Returns whether the next update is due, and starts the interval to the one
+    /// after it.
+    pub fn take_due(&mut self, now: Time) -> bool {
+        if now < self.next_update {
+            return false;
         }
-        for sum in &mut demand {
-            if let Some(state) = self.routes.get(&sum.route) {
-                sum.arrivals_per_s = state.arrivals.arrivals_per_s.round() as u32;
-                sum.refused_per_s = state.arrivals.refused_per_s.round() as u32;
-            }
-        }
-        self.own_demand = demand;
+        self.next_update = now + UPDATE_INTERVAL;
         self.unserved_clients.sweep(now);
+        true
     }
 
     /// Adjusts the accepted shares to the load of the services. Returns the starts
@@ -149,27 +135,30 @@
         changes
     }
 
-    /// Decides on the first packet of a new flow. `was_rejected` tells whether a
-    /// backend server has just rejected another flow of the client.
+    /// Returns whether a new flow is the retry of one that was refused or did not
+    /// open. The next flow of the client is not.
+    pub fn take_retry(&mut self, client: Ipv4Addr, route: SocketAddrV4, now: Time) -> bool {
+        self.unserved_clients.take_retry(client, route, now)
+    }
+
+    /// Decides on the first packet of a new flow.
     pub fn decide(
         &mut self,
         client: Ipv4Addr,
         route: SocketAddrV4,
-        was_rejected: bool,
+        is_retry: bool,
         now: Time,
     ) -> Verdict {
         let Some(state) = self.routes.get_mut(&route) else {
             return Verdict::Accept;
         };
-        let clients = &mut self.unserved_clients;
-        let is_retry = clients.take_retry(client, route, now) || was_rejected;
         if let Some(refusal) = state.find_refusal(is_retry) {
-            state.arrivals.record_refusal(refusal, is_retry);
-            clients.record_refusal(client, route, now);
+            state.tries.record_refusal(refusal);
+            self.unserved_clients.record_refusal(client, route, now);
             return Verdict::Refuse(refusal);
         }
         if state.share < 1.0 {
-            clients.record_opening(client, route, now);
+            self.unserved_clients.record_opening(client, route, now);
         }
         Verdict::Accept
     }
@@ -179,15 +168,10 @@
         self.unserved_clients.record_opened(client, route);
     }
 
-    /// Returns the demand of this VM's clients at the last measurement.
-    pub fn own_demand(&self) -> &[RouteDemand] {
-        &self.own_demand
-    }
-
     /// Iterates over the routes under admission control, in arbitrary order, with
     /// their counts.
     pub fn counts(&self) -> impl Iterator<Item = (SocketAddrV4, FlowCounts)> {
-        self.routes.iter().map(|(at, r)| (*at, r.arrivals.counts))
+        self.routes.iter().map(|(at, r)| (*at, r.tries.counts))
     }
 
     /// Returns the accepted share of the first tries on a route.
@@ -198,7 +182,7 @@
     fn update_service(&mut self, load: &ServiceLoad) -> Option<OverloadChange> {
         let shares = self.services.get_mut(&load.service)?;
         let was_overloaded = shares.is_refusing();
-        let is_known = load.age <= MAX_AGE;
+        let is_known = load.age.is_some_and(|age| age <= MAX_AGE);
         match is_known {
             true => shares.update(load),
             false => shares.reset(),
@@ -216,7 +200,7 @@
             slots: load.slots as u32,
             utilization_percent: (load.utilization * 100.0) as u32,
             arrivals_per_s: load.routes.iter().map(|r| r.demand.arrivals_per_s).sum(),
-            age: load.age,
+            age: load.age.unwrap_or_default(),
         })
     }
 
@@ -244,7 +228,7 @@
         RouteState {
             share: 1.0,
             is_too_late: false,
-            arrivals: RouteArrivals::default(),
+            tries: Tries::default(),
         }
     }
 }
@@ -252,8 +236,8 @@
 impl RouteState {
     fn find_refusal(&mut self, is_retry: bool) -> Option<Refusal> {
         let is_within_limits = match is_retry {
-            true => self.arrivals.admit_retry(self.share < 1.0),
-            false => self.arrivals.admit_first_try(self.share),
+            true => self.tries.admit_retry(self.share < 1.0),
+            false => self.tries.admit_first_try(self.share),
         };
         if self.is_too_late {
             return Some(Refusal::Timeout);
--- a/src/core/steering/admission/share.rs
+++ b/src/core/steering/admission/share.rs
@@ -149,7 +149,7 @@
         let parts = self.priorities.iter().zip(demands);
         let refused: f64 = parts.map(|(s, d)| slot_load(s, d.refused_per_s)).sum();
         let mut surplus = base_load(utilization) + refused - TARGET;
-        let step = step_limit(load.age);
+        let step = step_limit(load.age.unwrap_or_default());
         let count = self.priorities.len();
         let next_raised = self.priorities.iter().rposition(|s| s.accepted < 1.0);
         for (rank, (share, demand)) in self.priorities.iter_mut().zip(demands).enumerate() {
--- a/src/core/steering/admission/steering.rs
+++ b/src/core/steering/admission/steering.rs
@@ -1,6 +1,6 @@
 //! Connects admission control with the state of a VM.
 //!
-//! Flows of this VM and the heartbeats that it hears are the input.
+//! The input are the sums over all VMs.
 
 use std::net::SocketAddrV4;
 
@@ -12,7 +12,6 @@
         decision::Decision,
         directory::Fitness,
         directory_entry::Entry,
-        exchange::TRANSIT_TIME,
         failure_detector::HealthState,
         loads::message::RouteDemand,
         packet::Packet,
@@ -20,11 +19,11 @@
         tag::Tag, //
     },
     Verdict,
-    arrivals::FlowCounts,
     load::{
         RouteLoad,
         ServiceLoad, //
     },
+    tries::FlowCounts,
 };
 use crate::{
     core::names::ServiceId,
@@ -56,22 +55,26 @@
             return true;
         }
         let (client, route) = (*packet.flow.client.ip(), packet.flow.service);
-        let verdict = self.flow_admission.decide(client, route, was_rejected, now);
+        let is_retry = self.flow_admission.take_retry(client, route, now) || was_rejected;
+        if !is_retry {
+            self.route_arrivals.record(route);
+        }
+        let verdict = self.flow_admission.decide(client, route, is_retry, now);
+        if verdict != Verdict::Accept && !is_retry {
+            self.route_arrivals.record_refused(route);
+        }
         verdict == Verdict::Accept
     }
 
     /// Measures the load and adjusts the accepted shares if that is due.
     pub(in super::super) fn update_admission(&mut self, now: Time) {
-        if !self.flow_admission.is_due(now) {
+        if !self.flow_admission.take_due(now) {
             return;
         }
         let services = self.prioritized_services();
-        let own = self.own_demand(&services);
-        self.flow_admission.measure(own, now);
-        let (demand, age) = self.fleet_demand(now);
         let loads: Vec<ServiceLoad> = services
             .iter()
-            .map(|(service, routes)| self.service_load(service, routes, &demand, age, now))
+            .map(|(service, routes)| self.service_load(service, routes, now))
             .collect();
         let changes = self.flow_admission.update(&loads);
         self.decisions
@@ -96,45 +99,8 @@
         services
     }
 
-    /// Returns the demand of this VM's clients, without the rates.
-    fn own_demand(&self, services: &[(ServiceId, SmallVec<[Route; 4]>)]) -> Vec<RouteDemand> {
-        let routes = services.iter().flat_map(|(_, routes)| routes);
-        let mut demand: Vec<RouteDemand> = routes.map(|r| no_demand(r.address)).collect();
-        if demand.is_empty() {
-            return demand;
-        }
-        for (route, is_waiting) in self.flows.routes() {
-            if let Some(sum) = demand.iter_mut().find(|d| d.route == route) {
-                sum.flows += 1;
-                sum.outstanding += u32::from(is_waiting);
-            }
-        }
-        demand
-    }
-
-    /// Returns the demand of all VMs that are heard, and the age of its oldest part.
-    fn fleet_demand(&self, now: Time) -> (Vec<RouteDemand>, Millis) {
-        let mut sums = self.flow_admission.own_demand().to_vec();
-        let mut age = Millis(0);
-        for member in self.peers.live(now) {
-            age = age.max(now.since(member.heard) + TRANSIT_TIME);
-            for demand in &member.heartbeat.routes {
-                if let Some(sum) = sums.iter_mut().find(|d| d.route == demand.route) {
-                    add_demand(sum, demand);
-                }
-            }
-        }
-        (sums, age)
-    }
-
-    fn service_load(
-        &self,
-        service: &ServiceId,
-        routes: &[Route],
-        demand: &[RouteDemand],
-        age: Millis,
-        now: Time,
-    ) -> ServiceLoad {
+    fn service_load(&self, service: &ServiceId, routes: &[Route], now: Time) -> ServiceLoad {
+        let demand = self.remote_loads.routes();
         let pool = self.directory.pool(service);
         let (mut slots, mut outstanding) = (0, 0);
         for tag in pool {
@@ -150,7 +116,7 @@
             service: service.clone(),
             utilization: f64::from(outstanding) / slots,
             slots,
-            age,
+            age: self.remote_loads.age(now),
             response_time: response_time.map(|ms| Millis(ms as u64)),
             routes: routes.iter().map(|r| route_load(r, demand)).collect(),
         }
@@ -192,13 +158,6 @@
     }
 }
 
-fn add_demand(sum: &mut RouteDemand, demand: &RouteDemand) {
-    sum.outstanding += demand.outstanding;
-    sum.flows += demand.flows;
-    sum.arrivals_per_s += demand.arrivals_per_s;
-    sum.refused_per_s += demand.refused_per_s;
-}
-
 fn route_load(route: &Route, demand: &[RouteDemand]) -> RouteLoad {
     let found = demand.iter().find(|d| d.route == route.address);
     RouteLoad {
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -84,7 +84,11 @@
 use handshakes::Handshakes;
 pub use identity::Identity;
 use known_peer::HEARTBEAT_INTERVAL;
-use loads::RemoteLoads;
+use loads::{
+    LoadSender,
+    RemoteLoads,
+    RouteArrivals, //
+};
 use members::Members;
 use peers::{
     Contact,
@@ -150,6 +154,8 @@
     admission: SnapshotAdmission,
     flow_admission: Admission,
     remote_loads: RemoteLoads,
+    load_sender: LoadSender,
+    route_arrivals: RouteArrivals,
     sync: SyncState,
     /// Invariant: one per kind, in the order of [`Kind::ALL`].
     readers: [StoreReader; Kind::ALL.len()],
@@ -197,6 +203,8 @@
             handshakes: Handshakes::default(),
             unlisted: UnlistedTags::default(),
             remote_loads: RemoteLoads::default(),
+            load_sender: LoadSender::default(),
+            route_arrivals: RouteArrivals::default(),
             sync: SyncState::default(),
             readers: Kind::ALL.map(StoreReader::open),
             rng: SmallRng::seed_from_u64(rng_seed),
@@ -277,6 +285,7 @@
         self.update_readiness(now);
         self.replicate(now);
         self.request_unknown(now);
+        self.update_loads(now);
         self.update_stalls(now);
         self.update_admission(now);
         if self.cold_assignments.is_due(now) {
