Admission: hold the shares while one message of a hub is missing

Cause: sums are up to 1.3 s old, so one lost message made them older than 1.5 s, and all flows were admitted at once in the middle of an overload. Change: from 1.5 s to 2.25 s the shares stay; after that nothing is refused.

--- a/src/core/steering/admission/mod.rs
+++ b/src/core/steering/admission/mod.rs
@@ -43,8 +43,12 @@
     },
 };
 
-/// Age from which a measurement is not used.
-pub const MAX_AGE: Millis = Millis(1_500);
+/// Age up to which the shares follow a measurement.
+const MAX_AGE: Millis = Millis(1_500);
+
+/// Age up to which the shares stay as they are. Covers one lost message of a hub, so
+/// that it does not admit all flows at once.
+const MAX_HOLD_AGE: Millis = Millis(2_250);
 
 /// Admission control of one VM.
 #[derive(Debug, Default)]
@@ -182,10 +186,11 @@
     fn update_service(&mut self, load: &ServiceLoad) -> Option<OverloadChange> {
         let shares = self.services.get_mut(&load.service)?;
         let was_overloaded = shares.is_refusing();
-        let is_known = load.age.is_some_and(|age| age <= MAX_AGE);
-        match is_known {
-            true => shares.update(load),
-            false => shares.reset(),
+        let is_known = load.age.is_some_and(|age| age <= MAX_HOLD_AGE);
+        match load.age {
+            Some(age) if age <= MAX_AGE => shares.update(load),
+            _ if is_known => {}
+            _ => shares.reset(),
         }
         for route in &load.routes {
             if let Some(state) = self.routes.get_mut(&route.demand.route) {
--- a/src/core/steering/loads/message.rs
+++ b/src/core/steering/loads/message.rs
@@ -101,8 +101,8 @@
     pub outstanding: u32,
     /// Flows, including those that are opening.
     pub flows: u32,
-    /// New flows per second, those that were refused included. Retries of refused or
-    /// unopened flows do not count while flows may be refused.
+    /// New flows per second, those that were refused included. Retries of flows that
+    /// were refused or did not open do not count.
     pub arrivals_per_s: u32,
     /// New flows per second that were refused.
     pub refused_per_s: u32,
