--- a/tests/steering_admission.rs
+++ b/tests/steering_admission.rs
@@ -412,6 +412,19 @@
     }
 }
 
+/// Guards against one lost message that admits all flows in the middle of an overload.
+#[test]
+fn a_missing_message_of_a_hub_does_not_end_the_refusals() {
+    let mut admission = overloaded();
+    let share = admission.accepted_share(route(2));
+    let late = ServiceLoad {
+        age: Some(Millis(1_800)),
+        ..overload()
+    };
+    admission.update(&[late]);
+    assert_eq!(admission.accepted_share(route(2)), share);
+}
+
 /// Guards against requests that are answered after their client has given up, and
 /// against refusals of a slow service with free slots.
 #[test]
