--- a/tests/steering_admission.rs
+++ b/tests/steering_admission.rs
@@ -301,7 +301,7 @@
 /// Guards against queues that stay full for longer than the age of the sums requires,
 /// and against shares that swing around the right ones.
 #[test]
-fn overshoot_ends_after_three_seconds_and_shares_settle() {
+fn overshoot_ends_2_5_s_after_the_sums_show_it_and_shares_settle() {
     for kinds in [SHORT, LONG_LIVED] {
         let mut model = Model::new(kinds, 1_250);
         model.run(1.0, 8_000);
