--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -104,4 +104,6 @@
     7025 ResponsesTooFast Info "A backend server responds far faster than it can work; new flows go to other backend servers.";
     7022 PathLost Warn "Handshakes with backend servers of a data centre are not answered; new flows go to other data centres.";
     7023 PathRestored Info "The path to a data centre works again.";
+    7020 OverloadStarted Warn "A service has too little capacity; new flows of less urgent routes are refused.";
+    7021 OverloadEnded Info "A service has capacity again; new flows are no longer refused.";
 }
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use super::{
+    admission::OverloadChange,
     directory::Fitness,
     evidence::Evidence,
     packet::{
@@ -184,6 +185,8 @@
         /// How long it was lost.
         lost_for: Millis,
     },
+    /// Refusals of new flows started or ended at a service.
+    OverloadChanged(OverloadChange),
     /// A peer was heard for the first time, or is no longer heard.
     PeerHeard {
         /// Whether it is heard.
@@ -220,6 +223,8 @@
             Decision::StoreAnswers { .. } => Notice::StoreLost,
             Decision::PathLost { .. } => Notice::PathLost,
             Decision::PathRestored { .. } => Notice::PathRestored,
+            Decision::OverloadChanged(c) if c.is_overloaded => Notice::OverloadStarted,
+            Decision::OverloadChanged(_) => Notice::OverloadEnded,
             Decision::PeerHeard { is_heard: true, .. } => Notice::PeerFound,
             Decision::PeerHeard { .. } => Notice::PeerSilent,
         }
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -85,10 +85,9 @@
         waiting.map(move |f| (f.tag, now.since(f.waiting_since)))
     }
 
-    /// Iterates over the routes of the flows whose client waits for an answer.
-    pub fn waiting_routes(&self) -> impl Iterator<Item = SocketAddrV4> {
-        let waiting = self.flows.iter().filter(|(_, f)| f.is_waiting);
-        waiting.map(|(id, _)| id.service)
+    /// Iterates over the routes of all flows, and whether the client waits.
+    pub fn routes(&self) -> impl Iterator<Item = (SocketAddrV4, bool)> {
+        self.flows.iter().map(|(id, f)| (id.service, f.is_waiting))
     }
 
     /// Returns the backend servers tried for an opening flow, and whether
--- a/src/core/steering/loads/arrivals.rs
+++ b/src/core/steering/loads/arrivals.rs
@@ -60,26 +60,30 @@
         now >= self.next_window
     }
 
-    /// Computes the demand of the last second and starts the next window. `waiting`
-    /// names the route of each outstanding request.
-    pub fn update(&mut self, waiting: impl Iterator<Item = SocketAddrV4>, now: Time) {
-        let mut outstanding: BTreeMap<SocketAddrV4, u32> = BTreeMap::new();
-        for route in waiting {
-            *outstanding.entry(route).or_default() += 1;
+    /// Computes the demand of the last second and starts the next window. `flows`
+    /// names the route of each flow, and whether a request is outstanding.
+    pub fn update(&mut self, flows: impl Iterator<Item = (SocketAddrV4, bool)>, now: Time) {
+        let mut sums: BTreeMap<SocketAddrV4, [u32; 2]> = BTreeMap::new();
+        for (route, is_waiting) in flows {
+            let [flows, outstanding] = sums.entry(route).or_default();
+            *flows += 1;
+            *outstanding += u32::from(is_waiting);
         }
         for route in self.windows.keys() {
-            outstanding.entry(*route).or_default();
+            sums.entry(*route).or_default();
         }
-        let demand = outstanding.into_iter();
-        self.demand = demand.map(|(r, n)| self.route_demand(r, n)).collect();
+        let demand = sums.into_iter();
+        self.demand = demand.map(|(r, sum)| self.route_demand(r, sum)).collect();
         self.start_window(now);
     }
 
-    fn route_demand(&self, route: SocketAddrV4, outstanding: u32) -> RouteDemand {
+    fn route_demand(&self, route: SocketAddrV4, sum: [u32; 2]) -> RouteDemand {
+        let [flows, outstanding] = sum;
         let windows = self.windows.get(&route).copied().unwrap_or_default();
         RouteDemand {
             route,
             outstanding,
+            flows,
             arrivals_per_s: windows.iter().map(|c| c.arrivals).sum(),
             refused_per_s: windows.iter().map(|c| c.refused).sum(),
         }
--- a/src/core/steering/loads/exchange.rs
+++ b/src/core/steering/loads/exchange.rs
@@ -45,8 +45,7 @@
     /// Counts the loads and sends them if that is due.
     pub(in super::super) fn update_loads(&mut self, now: Time) {
         if self.route_arrivals.is_due(now) {
-            let waiting = self.flows.waiting_routes();
-            self.route_arrivals.update(waiting, now);
+            self.route_arrivals.update(self.flows.routes(), now);
         }
         self.remote_loads.expire(now);
         self.load_sender.observe(self.peers.is_hub(), now);
--- a/src/core/steering/loads/message.rs
+++ b/src/core/steering/loads/message.rs
@@ -99,7 +99,10 @@
     pub route: SocketAddrV4,
     /// Requests that are outstanding.
     pub outstanding: u32,
-    /// New flows per second, those that were refused included.
+    /// Flows, including those that are opening.
+    pub flows: u32,
+    /// New flows per second, those that were refused included. Retries of flows that
+    /// were refused or did not open do not count.
     pub arrivals_per_s: u32,
     /// New flows per second that were refused.
     pub refused_per_s: u32,
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -66,6 +66,7 @@
 
 pub use action::Action;
 use capability::Capability;
+use admission::Admission;
 use cold::ColdBudget;
 use cold_grants::{
     ColdAssignments,
@@ -155,6 +156,7 @@
     takeovers: Takeovers,
     registration: Registration,
     admission: SnapshotAdmission,
+    flow_admission: Admission,
     remote_loads: RemoteLoads,
     load_sender: LoadSender,
     route_arrivals: RouteArrivals,
@@ -191,6 +193,7 @@
             takeovers: Takeovers::default(),
             registration: Registration::default(),
             admission: SnapshotAdmission::default(),
+            flow_admission: Admission::default(),
             routing: Routing::default(),
             directory: Directory::default(),
             flows: FlowTable::default(),
@@ -292,6 +295,7 @@
         self.update_loads(now);
         self.update_stalls(now);
         self.update_capability(now);
+        self.update_admission(now);
         if self.cold_assignments.is_due(now) {
             self.assign_cold(now);
         }
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -68,8 +68,10 @@
             match self.flows.handshake_attempts(&packet.flow, copy, now) {
                 None => {
                     let client = *packet.flow.client.ip();
-                    self.handshakes.detect_retry(client, now);
-                    self.route_arrivals.record(packet.flow.service);
+                    let was_rejected = self.handshakes.detect_retry(client, now);
+                    if !self.admits(packet, copy, was_rejected, now) {
+                        return Verdict::Reset(ResetReason::Overload);
+                    }
                     SmallVec::new()
                 }
                 // A packet may be duplicated on the way.
@@ -236,6 +238,8 @@
                 let client = *packet.flow.client.ip();
                 self.handshakes.record_success(client, tag, elapsed);
                 self.record_path_opened(tag, elapsed, now);
+                self.flow_admission
+                    .record_opened(client, packet.flow.service);
             }
             BackendSignal::Answered {
                 tag,
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -154,6 +154,10 @@
             data_centre,
             lost_for,
         } => log_decision!(decision, %data_centre, lost_for_ms = lost_for.0),
+        Decision::OverloadChanged(c) => {
+            let (slots, utilization_percent) = (c.slots, c.utilization_percent);
+            log_decision!(decision, service = %c.service, slots, utilization_percent, arrivals_per_s = c.arrivals_per_s, age_ms = c.age.0);
+        }
         Decision::PeerHeard {
             is_heard,
             vm,
