Plan how much of a data centre's demand others serve

Cause: flows left a data centre when it was twice as busy as the others, and then all of them did. Delay and cost of traffic between data centres did not count.

Change: each VM computes a plan per service from the demand by origin, the slots of each data centre and the cost of the path (placement/spill*.rs, docs/design/spill.md). Placement follows it for new flows; without the option, or without sums that are young enough, the rule before holds. Event 7024 and the gauge spill_share show the plan.

Result, tests/steering_spill.rs: a step of the demand from 30 to 85 on 60 slots settles within 0.1 of the share, for flows of 50 ms and of 10 s.

Ruled out: a plan in outstanding requests. It sends more than needed.

--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -101,4 +101,5 @@
     7017 StoreRestored Warn "The store was restored from an older copy and has lost its last changes.";
     7018 ConfigurationHeldBack Warn "A configuration that is older than the active one was not activated.";
     7019 BackendsDoubted Warn "A restored store lists backend servers that drain, have left or have started again; they get no new flows.";
+    7024 SpillChanged Info "The share of a service's flows that is sent to other data centres has changed.";
 }
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -12,6 +12,7 @@
         FlowId,
         ResetReason, //
     },
+    placement::spill::SpillChange,
     store::{
         Era,
         Kind,
@@ -23,6 +24,7 @@
     core::{
         names::{
             DataCentreId,
+            ServiceId,
             VmId, //
         },
         notice::Notice,
@@ -157,6 +159,16 @@
         /// Number of flow replicas at this VM.
         replicas: usize,
     },
+    /// The share of a service's demand that other data centres should serve has
+    /// changed.
+    SpillChanged {
+        /// Service.
+        service: ServiceId,
+        /// Change, with the demand and capacity of this VM's data centre.
+        change: SpillChange,
+        /// Age of the demand.
+        age: Millis,
+    },
     /// The store stopped answering this VM, or answers again.
     StoreAnswers {
         /// Whether it answers.
@@ -194,6 +206,7 @@
             Decision::BackendsDoubted { .. } => Notice::BackendsDoubted,
             Decision::Readiness { is_ready: true, .. } => Notice::Ready,
             Decision::Readiness { .. } => Notice::NotReady,
+            Decision::SpillChanged { .. } => Notice::SpillChanged,
             Decision::TakenOver { .. } => Notice::DataCentreTakenOver,
             Decision::StoreAnswers { answers: true, .. } => Notice::StoreRegained,
             Decision::StoreAnswers { .. } => Notice::StoreLost,
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -93,6 +93,10 @@
     Contact,
     FleetRecord, //
 };
+use placement::{
+    spill::SpillPlan,
+    spill_update::PlacementOptions, //
+};
 use readiness::Readiness;
 use registration::{
     ReaderStatus,
@@ -154,6 +158,8 @@
     remote_loads: RemoteLoads,
     load_sender: LoadSender,
     route_arrivals: RouteArrivals,
+    placement_options: PlacementOptions,
+    spill: SpillPlan,
     sync: SyncState,
     /// Invariant: one per kind, in the order of [`Kind::ALL`].
     readers: [StoreReader; Kind::ALL.len()],
@@ -202,6 +208,8 @@
             remote_loads: RemoteLoads::default(),
             load_sender: LoadSender::default(),
             route_arrivals: RouteArrivals::default(),
+            placement_options: PlacementOptions::default(),
+            spill: SpillPlan::default(),
             sync: SyncState::default(),
             readers: Kind::ALL.map(StoreReader::open),
             rng: SmallRng::seed_from_u64(rng_seed),
@@ -283,6 +291,7 @@
         self.replicate(now);
         self.request_unknown(now);
         self.update_loads(now);
+        self.update_spill(now);
         self.update_stalls(now);
         if self.cold_assignments.is_due(now) {
             self.assign_cold(now);
--- a/src/core/steering/placement/mod.rs
+++ b/src/core/steering/placement/mod.rs
@@ -4,7 +4,8 @@
 //! occasional requests, on backend servers with 2 to 4 slots, in data centres
 //! that may be partitioned at any time. A flow within the client's data centre
 //! survives a partition, so the local data centre is preferred unless it is
-//! much busier than the others.
+//! much busier than the others. Where the operators have set the cost of traffic
+//! between data centres, the plan in [`spill`] decides instead.
 
 use rand::{
     Rng,
@@ -14,6 +15,11 @@
 
 mod sampling;
 pub mod spill;
+pub mod spill_distribution;
+pub mod spill_update;
+pub mod spill_wait;
+
+mod spill_service;
 
 use super::{
     Identity,
@@ -39,7 +45,13 @@
     stalls::Stalls,
     tag::Tag,
 };
-use crate::{core::names::ServiceId, kernel::clock::Time};
+use crate::{
+    core::names::{
+        DataCentreId,
+        ServiceId, //
+    },
+    kernel::clock::Time,
+};
 
 /// How many times busier the local data centre may be before flows spill over.
 const SPILL_RATIO: f64 = 2.0;
@@ -76,6 +88,9 @@
     pub cold_grants: &'a HeldGrants,
     /// Health of the backend servers.
     pub detector: &'a FailureDetector,
+    /// Data centre that should get the flow by the spill plan. `None` without a
+    /// plan.
+    pub planned: Option<DataCentreId>,
     /// Current time.
     pub now: Time,
 }
@@ -105,7 +120,9 @@
         if candidates.iter().any(|c| !avoid.contains(&c.tag)) {
             candidates.retain(|c| !avoid.contains(&c.tag));
         }
-        if self.prefers_local(service, &candidates) {
+        if candidates.iter().any(|c| self.is_planned(c)) {
+            candidates.retain(|c| self.is_planned(c));
+        } else if self.prefers_local(service, &candidates) {
             candidates.retain(|c| c.is_local);
         }
         Some((self.select(&mut candidates, rng)?, best))
@@ -177,6 +194,11 @@
         (1.0 + flows + WAITING_WEIGHT * waiting) / f64::from(entry.server.slots.max(1))
     }
 
+    fn is_planned(&self, candidate: &Candidate) -> bool {
+        let entry = self.directory.entry(candidate.tag);
+        entry.is_some_and(|e| Some(&e.server.data_centre) == self.planned.as_ref())
+    }
+
     fn prefers_local(&self, service: &ServiceId, candidates: &[Candidate]) -> bool {
         let (local, remote): (Vec<&Candidate>, Vec<&Candidate>) =
             candidates.iter().partition(|c| c.is_local);
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -145,6 +145,7 @@
         attempted: &[Tag],
         now: Time,
     ) -> Option<(Tag, Fitness)> {
+        let planned = self.spill.next_data_centre(service, now);
         let placement = Placement {
             me: &self.me,
             started_at: self.started_at,
@@ -158,6 +159,7 @@
             cold_budget: &self.cold_budget,
             cold_grants: &self.cold_grants,
             detector: &self.detector,
+            planned,
             now,
         };
         placement.choose(service, attempted, &mut self.rng)
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -143,6 +143,16 @@
             data_centre,
             replicas,
         } => log_decision!(decision, %data_centre, replicas),
+        Decision::SpillChanged {
+            service,
+            change,
+            age,
+        } => {
+            let before_percent = (change.before * 100.0).round();
+            let share_percent = (change.share * 100.0).round();
+            let (demand, slots) = (change.demand.round(), change.slots.round());
+            log_decision!(decision, %service, before_percent, share_percent, demand, slots, age_ms = age.0);
+        }
         Decision::StoreAnswers { answers, kind } => log_decision!(decision, answers, %kind),
         Decision::PeerHeard {
             is_heard,
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a VM that steers by tag, in the OpenMetrics text format.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::{
     encoding::{
         EncodeLabelSet,
@@ -8,7 +10,10 @@
     metrics::{
         counter::Counter,
         family::Family,
-        gauge::ConstGauge,
+        gauge::{
+            ConstGauge,
+            Gauge, //
+        },
         histogram::Histogram, //
     },
     registry::Registry,
@@ -54,6 +59,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ServiceLabels {
+    service: String,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct KindLabels {
     kind: String,
@@ -158,6 +168,7 @@
         let mut registry = Registry::with_prefix(PREFIX);
         self.add_counters(&mut registry);
         add_state_gauges(&mut registry, steering, now);
+        add_spill_shares(&mut registry, steering, now);
         add_gauge(
             &mut registry,
             "log_lines_lost",
@@ -212,7 +223,7 @@
 
 fn add_state_gauges(registry: &mut Registry, steering: &Steering, now: Time) {
     let stats = steering.stats(now);
-    let ages: Family<KindLabels, prometheus_client::metrics::gauge::Gauge> = Family::default();
+    let ages: Family<KindLabels, Gauge> = Family::default();
     for (kind, age) in Kind::ALL.into_iter().zip(stats.ages) {
         let kind = kind.to_string();
         let age = age.map_or(-1, |a| a.0 as i64);
@@ -263,6 +274,19 @@
     }
 }
 
+fn add_spill_shares(registry: &mut Registry, steering: &Steering, now: Time) {
+    let shares: Family<ServiceLabels, Gauge<f64, AtomicU64>> = Family::default();
+    for (service, share) in steering.spill_shares(now) {
+        let service = service.to_string();
+        shares.get_or_create(&ServiceLabels { service }).set(share);
+    }
+    registry.register(
+        "spill_share",
+        "Share of the demand of this data centre that others should serve",
+        shares,
+    );
+}
+
 fn add_gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
     let value = i64::try_from(value).unwrap_or(i64::MAX);
     registry.register(name, help, ConstGauge::new(value));
