State measured reasons for two constants of the spill plan

Cause: two comments gave effects that no run had shown.

Change: they give the time measured in the loop of tests/steering_spill.rs and the bound that follows from the smoothing. No code changes.

--- a/src/core/steering/placement/spill_service.rs
+++ b/src/core/steering/placement/spill_service.rs
@@ -42,7 +42,8 @@
 
 /// By how much the utilization of two data centres must differ before one starts to
 /// send to the other. Sums that were taken up to 0.5 s apart then agree on the
-/// direction unless the difference changes by more than the whole capacity at once.
+/// direction unless the difference jumps by 0.8 of the capacity, which the smoothing
+/// reduces to 0.2 in that time.
 const START_MARGIN: f64 = 0.1;
 
 /// Minimum cost of a path: the resolution of delays. Otherwise nearly all would leave
--- a/src/core/steering/placement/spill_wait.rs
+++ b/src/core/steering/placement/spill_wait.rs
@@ -24,7 +24,7 @@
 
 /// Load by which each request beyond full queues raises the estimate, in slots.
 /// Rejected requests are not seen, so the load is only known to be higher. With this
-/// value, twice the capacity is sent away about three seconds after a step.
+/// value, a step of the load from 0.5 to 1.4 of the capacity is met within 3 s.
 const EXCESS_LOAD: f64 = 0.5;
 
 /// Wait that a rejected request stands for at a utilization of 1, in milliseconds.
