--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -106,4 +106,5 @@
     7023 PathRestored Info "The path to a data centre works again.";
     7020 OverloadStarted Warn "A service has too little capacity; new flows of less urgent routes are refused.";
     7021 OverloadEnded Info "A service has capacity again; new flows are no longer refused.";
+    7024 SpillChanged Info "The share of a service's flows that is sent to other data centres has changed.";
 }
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -14,6 +14,7 @@
         ResetReason, //
     },
     paths::PathEvidence,
+    placement::spill::SpillChange,
     store::{
         Era,
         Kind,
@@ -25,6 +26,7 @@
     core::{
         names::{
             DataCentreId,
+            ServiceId,
             VmId, //
         },
         notice::Notice,
@@ -164,6 +166,16 @@
         /// Number of flow replicas at this VM.
         replicas: usize,
     },
+    /// The share of a service's demand that other data centres should serve has
+    /// changed.
+    SpillChanged {
+        /// Service.
+        service: ServiceId,
+        /// Change, with the demand and capacity of this VM's data centre.
+        change: SpillChange,
+        /// Age of the demand.
+        age: Millis,
+    },
     /// The store stopped answering this VM, or answers again.
     StoreAnswers {
         /// Whether it answers.
@@ -218,6 +230,7 @@
             Decision::BackendsDoubted { .. } => Notice::BackendsDoubted,
             Decision::Readiness { is_ready: true, .. } => Notice::Ready,
             Decision::Readiness { .. } => Notice::NotReady,
+            Decision::SpillChanged { .. } => Notice::SpillChanged,
             Decision::TakenOver { .. } => Notice::DataCentreTakenOver,
             Decision::StoreAnswers { answers: true, .. } => Notice::StoreRegained,
             Decision::StoreAnswers { .. } => Notice::StoreLost,
