Count no request as outstanding that waited for over a second, and connect spill with its inputs

While VMs are replaced, the routers move flows; the VM that sent a request sees no response and held it for outstanding until the idle timeout. Utilization came out at 1.5 and rose; 3,114 requests failed. Change: requests that wait for over a second leave the sums of large fleets, as do those on lost paths. The spill plan reads speed and service time from capability, delay and lost paths from paths.

--- a/src/core/steering/admission/steering.rs
+++ b/src/core/steering/admission/steering.rs
@@ -128,14 +128,15 @@
         let entry = self.directory.entry(tag)?;
         let fitness = self.directory.fitness(entry, now);
         let is_fit = matches!(fitness, Fitness::Ready | Fitness::Doubtful);
-        let is_reachable = self.detector.health(tag) < HealthState::Unreachable;
+        let is_reachable =
+            self.detector.health(tag) < HealthState::Unreachable && !self.is_path_lost(tag, now);
         (is_fit && is_reachable).then_some(entry)
     }
 
     /// Returns the outstanding requests of all VMs at a backend server. One whose
     /// handshakes fail has no free slot, whatever the counts say.
     fn outstanding(&self, tag: Tag, entry: &Entry, now: Time) -> u32 {
-        let waiting = self.flows.load(tag).waiting + self.remote_loads.load(tag).waiting;
+        let waiting = self.flows.outstanding(tag) + self.remote_loads.load(tag).waiting;
         match self.handshakes.is_failing(tag, now) {
             true => waiting.max(entry.server.slots),
             false => waiting,
--- a/src/core/steering/capability/estimate.rs
+++ b/src/core/steering/capability/estimate.rs
@@ -86,6 +86,11 @@
         self.is_known
     }
 
+    /// Returns the median of the service in milliseconds.
+    pub(super) fn median_ms(&self) -> f64 {
+        self.median_ms
+    }
+
     /// Returns the cost factor.
     pub(super) fn factor(&self) -> f64 {
         self.factor
--- a/src/core/steering/capability/mod.rs
+++ b/src/core/steering/capability/mod.rs
@@ -153,6 +153,12 @@
         self.estimates.get(&tag).map_or(1.0, Estimate::factor)
     }
 
+    /// Returns the median service time of a pool. `None` while it is not known.
+    pub fn median(&self, pool: &[Tag]) -> Option<Millis> {
+        let estimate = pool.iter().find_map(|tag| self.estimates.get(tag))?;
+        Some(Millis(estimate.median_ms().round() as u64))
+    }
+
     /// Returns whether a backend server responds far too fast. Most likely it
     /// rejects requests or fails.
     pub fn is_doubtful(&self, tag: Tag, now: Time) -> bool {
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -132,10 +132,14 @@
 
     /// Returns the load of this VM's flows on the backend servers.
     pub(super) fn own_loads(&self, now: Time) -> Vec<TagLoad> {
+        let is_shared = self.remote_loads.are_shared();
         let load = |(tag, load): (Tag, Load)| TagLoad {
             tag,
             flows: load.flows,
-            waiting: load.waiting,
+            waiting: match is_shared {
+                true => self.flows.outstanding(tag),
+                false => load.waiting,
+            },
             stalled: self.stalls.stalled_flows(tag),
             is_answering: self.stalls.is_answering(tag, now),
             service_time: self.capability.report(tag, now),
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -34,12 +34,20 @@
 /// steered.
 pub const MAX_FLOWS: usize = 16_384;
 
+/// Waiting time up to which a request counts as outstanding in the sums over all
+/// VMs. The routers move flows when VMs come and go, and the VM that sent a request
+/// then sees no response to it. Queues of backend servers are shorter.
+const MAX_COUNTED_WAIT: Millis = Millis(1_000);
+
 /// Flows of this VM.
 #[derive(Debug, Default)]
 pub struct FlowTable {
     /// Invariant: at most [`MAX_FLOWS`].
     flows: HashMap<FlowId, Flow>,
     load: HashMap<Tag, Load>,
+    /// Flows per backend server whose client has waited for longer than
+    /// [`MAX_COUNTED_WAIT`], as of the last update.
+    overdue: HashMap<Tag, u32>,
     changes: ReplicationQueue,
 }
 
@@ -85,9 +93,25 @@
         waiting.map(move |f| (f.tag, now.since(f.waiting_since)))
     }
 
-    /// Iterates over the routes of all flows, and whether the client waits.
-    pub fn routes(&self) -> impl Iterator<Item = (SocketAddrV4, bool)> {
-        self.flows.iter().map(|(id, f)| (id.service, f.is_waiting))
+    /// Iterates over the routes of all flows, and whether a request is outstanding.
+    pub fn routes(&self, now: Time) -> impl Iterator<Item = (SocketAddrV4, bool)> {
+        let flows = self.flows.iter();
+        flows.map(move |(id, f)| (id.service, f.is_waiting && !is_overdue(f, now)))
+    }
+
+    /// Counts the flows that wait for too long to count as outstanding requests.
+    pub fn update_overdue(&mut self, now: Time) {
+        self.overdue.clear();
+        let waiting = self.flows.values().filter(|f| f.is_waiting);
+        for flow in waiting.filter(|f| is_overdue(f, now)) {
+            *self.overdue.entry(flow.tag).or_default() += 1;
+        }
+    }
+
+    /// Returns the number of outstanding requests at a backend server.
+    pub fn outstanding(&self, tag: Tag) -> u32 {
+        let overdue = self.overdue.get(&tag).copied().unwrap_or(0);
+        self.load(tag).waiting.saturating_sub(overdue)
     }
 
     /// Returns the backend servers tried for an opening flow, and whether
@@ -292,3 +316,7 @@
         }
     }
 }
+
+fn is_overdue(flow: &Flow, now: Time) -> bool {
+    now.since(flow.waiting_since) >= MAX_COUNTED_WAIT
+}
--- a/src/core/steering/loads/exchange.rs
+++ b/src/core/steering/loads/exchange.rs
@@ -45,7 +45,8 @@
     /// Counts the loads and sends them if that is due.
     pub(in super::super) fn update_loads(&mut self, now: Time) {
         if self.route_arrivals.is_due(now) {
-            self.route_arrivals.update(self.flows.routes(), now);
+            self.flows.update_overdue(now);
+            self.route_arrivals.update(self.flows.routes(now), now);
         }
         self.remote_loads.expire(now);
         self.load_sender.observe(self.peers.is_hub(), now);
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -65,8 +65,8 @@
 mod takeover;
 
 pub use action::Action;
-use capability::Capability;
 use admission::Admission;
+use capability::Capability;
 use cold::ColdBudget;
 use cold_grants::{
     ColdAssignments,
--- a/src/core/steering/placement/spill_update.rs
+++ b/src/core/steering/placement/spill_update.rs
@@ -31,9 +31,22 @@
 /// was designed for (40 to 60 ms).
 const DEFAULT_SERVICE_TIME: Millis = Millis(50);
 
-/// Speed of a data centre's slots relative to the service's mean while none is
-/// measured.
-const DEFAULT_SPEED: f64 = 1.0;
+/// Slots of a service in one data centre.
+#[derive(Clone, Copy, Debug, Default)]
+struct Slots {
+    count: u32,
+    /// Sum of their speeds relative to the median of the service.
+    speed: f64,
+}
+
+impl Slots {
+    fn mean_speed(&self) -> f64 {
+        match self.count {
+            0 => 1.0,
+            count => self.speed / f64::from(count),
+        }
+    }
+}
 
 /// Settings of the placement of new flows.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -73,13 +86,15 @@
         let services = self.routing.configuration().services.iter();
         let services: Vec<ServiceId> = services.map(|s| s.name.clone()).collect();
         for service in services {
+            let pool = self.directory.pool(&service);
+            let service_time = self.capability.median(pool);
             let inputs = SpillInputs {
                 me: &self.me.data_centre,
                 service: &service,
                 capacity: &self.capacity(&service, now),
                 demand: self.remote_loads.demand(&service),
                 age,
-                service_time: DEFAULT_SERVICE_TIME,
+                service_time: service_time.unwrap_or(DEFAULT_SERVICE_TIME),
                 own_flows: self.own_flows(&service),
                 cost,
             };
@@ -95,23 +110,23 @@
 
     /// Returns the capacity of a service in each data centre with backend servers.
     fn capacity(&self, service: &ServiceId, now: Time) -> Vec<Capacity> {
-        let lost_paths = self.remote_loads.lost_paths();
-        let mut slots: BTreeMap<&DataCentreId, u32> = BTreeMap::new();
+        let mut slots: BTreeMap<&DataCentreId, Slots> = BTreeMap::new();
         for tag in self.directory.pool(service) {
             let Some(entry) = self.directory.entry(*tag) else {
                 continue;
             };
             let sum = slots.entry(&entry.server.data_centre).or_default();
             if self.takes_new_flows(*tag, entry, now) {
-                *sum += entry.server.slots;
+                sum.count += entry.server.slots;
+                sum.speed += f64::from(entry.server.slots) / self.capability.factor(*tag);
             }
         }
-        let capacity = |(data_centre, slots): (&DataCentreId, u32)| Capacity {
+        let capacity = |(data_centre, slots): (&DataCentreId, Slots)| Capacity {
             data_centre: data_centre.clone(),
-            slots,
-            speed: DEFAULT_SPEED,
-            extra_delay: None,
-            is_lost: lost_paths.contains(data_centre),
+            slots: slots.count,
+            speed: slots.mean_speed(),
+            extra_delay: self.paths.extra_delay(data_centre),
+            is_lost: self.paths.is_lost(data_centre, now),
         };
         slots.into_iter().map(capacity).collect()
     }
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -73,6 +73,11 @@
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RouteLabels {
     route: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RefusalLabels {
+    route: String,
     reason: String,
 }
 
@@ -236,12 +241,12 @@
 /// Adds the new flows of the routes under admission control: `first_try` and `retry`
 /// count all of them, the reasons for a refusal those that were refused.
 fn add_admission_counters(registry: &mut Registry, steering: &Steering) {
-    let flows: Family<RouteLabels, Counter> = Family::default();
+    let flows: Family<RefusalLabels, Counter> = Family::default();
     for (route, counts) in steering.admission_counts() {
         let add = |reason: String, count: u64| {
             let route = route.to_string();
             flows
-                .get_or_create(&RouteLabels { route, reason })
+                .get_or_create(&RefusalLabels { route, reason })
                 .inc_by(count);
         };
         add("first_try".to_owned(), counts.first_tries);
@@ -339,6 +344,9 @@
         "route_outstanding",
         "Outstanding requests of the whole fleet on a route",
         outstanding,
+    );
+}
+
 fn add_spill_shares(registry: &mut Registry, steering: &Steering, now: Time) {
     let shares: Family<ServiceLabels, Gauge<f64, AtomicU64>> = Family::default();
     for (service, share) in steering.spill_shares(now) {
