--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use super::{
+    admission::OverloadChange,
     directory::Fitness,
     evidence::Evidence,
     packet::{
@@ -12,6 +13,8 @@
         FlowId,
         ResetReason, //
     },
+    paths::PathEvidence,
+    placement::spill::SpillChange,
     store::{
         Era,
         Kind,
@@ -23,6 +26,7 @@
     core::{
         names::{
             DataCentreId,
+            ServiceId,
             VmId, //
         },
         notice::Notice,
@@ -86,6 +90,11 @@
         /// Backend server.
         tag: Tag,
     },
+    /// A backend server responds far too fast; others are preferred for new flows.
+    ResponsesTooFast {
+        /// Backend server.
+        tag: Tag,
+    },
     /// A backend server was declared dead.
     BackendDead {
         /// Backend server.
@@ -157,6 +166,16 @@
         /// Number of flow replicas at this VM.
         replicas: usize,
     },
+    /// The share of a service's demand that other data centres should serve has
+    /// changed.
+    SpillChanged {
+        /// Service.
+        service: ServiceId,
+        /// Change, with the demand and capacity of this VM's data centre.
+        change: SpillChange,
+        /// Age of the demand.
+        age: Millis,
+    },
     /// The store stopped answering this VM, or answers again.
     StoreAnswers {
         /// Whether it answers.
@@ -164,6 +183,22 @@
         /// Kind of the objects that were requested.
         kind: Kind,
     },
+    /// The path to a data centre was lost.
+    PathLost {
+        /// Data centre.
+        data_centre: DataCentreId,
+        /// Evidence for the loss.
+        evidence: PathEvidence,
+    },
+    /// The path to a data centre works again.
+    PathRestored {
+        /// Data centre.
+        data_centre: DataCentreId,
+        /// How long it was lost.
+        lost_for: Millis,
+    },
+    /// Refusals of new flows started or ended at a service.
+    OverloadChanged(OverloadChange),
     /// A peer was heard for the first time, or is no longer heard.
     PeerHeard {
         /// Whether it is heard.
@@ -185,6 +220,7 @@
             Decision::FlowReset { .. } => Notice::FlowReset,
             Decision::PacketDropped { .. } => Notice::PacketDropped,
             Decision::HandshakesFailing { .. } => Notice::HandshakesFailing,
+            Decision::ResponsesTooFast { .. } => Notice::ResponsesTooFast,
             Decision::BackendDead { .. } => Notice::BackendDead,
             Decision::BackendRevived { .. } => Notice::BackendRevived,
             Decision::BackendEnded { .. } => Notice::BackendEnded,
@@ -194,9 +230,14 @@
             Decision::BackendsDoubted { .. } => Notice::BackendsDoubted,
             Decision::Readiness { is_ready: true, .. } => Notice::Ready,
             Decision::Readiness { .. } => Notice::NotReady,
+            Decision::SpillChanged { .. } => Notice::SpillChanged,
             Decision::TakenOver { .. } => Notice::DataCentreTakenOver,
             Decision::StoreAnswers { answers: true, .. } => Notice::StoreRegained,
             Decision::StoreAnswers { .. } => Notice::StoreLost,
+            Decision::PathLost { .. } => Notice::PathLost,
+            Decision::PathRestored { .. } => Notice::PathRestored,
+            Decision::OverloadChanged(c) if c.is_overloaded => Notice::OverloadStarted,
+            Decision::OverloadChanged(_) => Notice::OverloadEnded,
             Decision::PeerHeard { is_heard: true, .. } => Notice::PeerFound,
             Decision::PeerHeard { .. } => Notice::PeerSilent,
         }
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -5,12 +5,12 @@
 use super::{
     Action,
     Steering,
-    capability::ServiceTime,
     decision::{
         Decision,
         Source, //
     },
     flows::Load,
+    loads::Report,
     peers::{
         Heartbeat,
         KindQuery,
@@ -130,16 +130,26 @@
         self.decisions.push(Decision::StoreRestored { before, era });
     }
 
-    /// Creates the heartbeat for the VM at `to`.
-    pub fn heartbeat(&mut self, to: SocketAddrV4, now: Time) -> Heartbeat {
+    /// Returns the load of this VM's flows on the backend servers.
+    pub(super) fn own_loads(&self, now: Time) -> Vec<TagLoad> {
+        let is_shared = self.remote_loads.are_shared();
         let load = |(tag, load): (Tag, Load)| TagLoad {
             tag,
             flows: load.flows,
-            waiting: load.waiting,
+            waiting: match is_shared {
+                true => self.flows.outstanding(tag),
+                false => load.waiting,
+            },
             stalled: self.stalls.stalled_flows(tag),
             is_answering: self.stalls.is_answering(tag, now),
-            service_time: ServiceTime::default(),
+            service_time: self.capability.report(tag, now),
         };
+        let loads = self.flows.loads().chain(self.sampled_idle());
+        loads.map(load).collect()
+    }
+
+    /// Creates the heartbeat for the VM at `to`.
+    pub fn heartbeat(&mut self, to: SocketAddrV4, now: Time) -> Heartbeat {
         Heartbeat {
             vm: self.me.vm.clone(),
             incarnation: self.me.incarnation,
@@ -151,9 +161,9 @@
             reaches_store: self.store_answers(),
             kind_reports: self.sync.reports(now),
             outage_age: self.sync.last_outage().map(|at| now.since(at)),
-            loads: self.flows.loads().map(load).collect(),
-            routes: Vec::new(),
-            paths: Vec::new(),
+            loads: self.loads_for(to, now),
+            routes: self.route_arrivals.demand().to_vec(),
+            paths: self.paths.report(now),
             dead: self.detector.dead_or_unconfirmed().collect(),
             stalled: self.stalls.found().collect(),
             takeovers: self.takeovers.export(),
@@ -163,12 +173,14 @@
     }
 
     /// Processes a heartbeat of another VM.
-    pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) {
+    pub fn on_heartbeat(&mut self, mut heartbeat: Heartbeat, now: Time) {
         if let Some(age) = heartbeat.outage_age {
             self.sync.record_outage(now - age);
         }
         for contact in &heartbeat.contacts {
             self.peers.add_contact(contact, now);
+            self.paths
+                .record_heard(&contact.data_centre, &heartbeat.data_centre, now);
         }
         self.observe_peer_era(&heartbeat.kind_reports, now);
         let is_local = heartbeat.data_centre == self.me.data_centre;
@@ -186,7 +198,8 @@
             self.cold_grants.replace(grants, now);
         }
         self.replicas.mark_heard(heartbeat.address, now);
-        let (from, loads) = (heartbeat.address, heartbeat.loads.clone());
+        let from = heartbeat.address;
+        let report = Report::take(&mut heartbeat, now);
         let kinds = self.compare(&heartbeat.kind_reports, now);
         let sender = heartbeat.contact();
         let before = self.peers.record_heartbeat(heartbeat, now);
@@ -195,8 +208,9 @@
             // A VM that has just started waits for the answer.
             self.send_heartbeats(now);
         }
-        let before = before.map_or(Vec::new(), |h| h.loads);
-        self.remote_loads.replace(&before, &loads);
+        if from != self.me.address {
+            self.remote_loads.record(from, report);
+        }
         let queries = self.new_queries(&kinds, now);
         if !queries.is_empty() {
             self.actions.push(Action::RequestSnapshot { from, queries });
--- a/src/core/steering/flow.rs
+++ b/src/core/steering/flow.rs
@@ -42,6 +42,8 @@
         tag: Tag,
         /// Response time, if the packet shows it.
         elapsed: Option<Millis>,
+        /// Requests outstanding at the backend server when this one was sent.
+        outstanding: u32,
     },
     /// It did not answer: the client retransmits.
     Retransmitted {
@@ -63,6 +65,10 @@
     pub ack: u32,
     /// Whether the client has sent data that is not answered yet.
     pub is_waiting: bool,
+    /// Whether another VM forwarded the flow before, and nothing was answered since.
+    /// The data that is not answered may be the repetition of a request that the
+    /// other VM still counts.
+    pub(super) is_adopted: bool,
     /// Backend servers tried during the handshake.
     pub(super) attempted: SmallVec<[Tag; 3]>,
     /// Highest retransmission number seen of the opening packet.
@@ -73,6 +79,8 @@
     pub(super) retransmits: u8,
     /// When the unanswered data was first forwarded.
     pub(super) waiting_since: Time,
+    /// Requests outstanding at the backend server then, this one included.
+    pub(super) outstanding: u32,
     /// When data was last forwarded.
     pub(super) forwarded_at: Time,
     pub(super) opened_at: Time,
@@ -97,6 +105,7 @@
     pub(super) fn adopted(packet: &Packet, tag: Tag, now: Time) -> Flow {
         Flow {
             is_waiting: packet.len > 0,
+            is_adopted: true,
             next_seq: Some(packet.end()),
             ..Flow::restored(tag, packet.ack, now)
         }
@@ -109,11 +118,13 @@
             is_open: true,
             ack,
             is_waiting: false,
+            is_adopted: false,
             attempted: SmallVec::new(),
             copies: 0,
             next_seq: None,
             retransmits: 0,
             waiting_since: now,
+            outstanding: 0,
             forwarded_at: now,
             opened_at: now,
             last_seen: now,
@@ -140,11 +151,15 @@
             self.ack = packet.ack;
             self.retransmits = 0;
             self.is_waiting = false;
+            self.is_adopted = false;
         }
         let is_retransmit = self.record_data(packet, now);
         if is_answered {
-            let tag = self.tag;
-            return BackendSignal::Answered { tag, elapsed };
+            return BackendSignal::Answered {
+                tag: self.tag,
+                elapsed,
+                outstanding: self.outstanding,
+            };
         }
         if is_retransmit {
             self.retransmits = self.retransmits.saturating_add(1);
--- a/src/core/steering/flows.rs
+++ b/src/core/steering/flows.rs
@@ -4,6 +4,8 @@
 //! not show: which clients wait for a backend server, whether it still answers,
 //! and its load.
 
+use std::net::SocketAddrV4;
+
 use hashbrown::HashMap;
 
 use super::{
@@ -32,12 +34,20 @@
 /// steered.
 pub const MAX_FLOWS: usize = 16_384;
 
+/// Waiting time up to which a request counts as outstanding in the sums over all
+/// VMs. The routers move flows when VMs come and go, and the VM that sent a request
+/// then sees no response to it. Queues of backend servers are shorter.
+const MAX_COUNTED_WAIT: Millis = Millis(1_000);
+
 /// Flows of this VM.
 #[derive(Debug, Default)]
 pub struct FlowTable {
     /// Invariant: at most [`MAX_FLOWS`].
     flows: HashMap<FlowId, Flow>,
     load: HashMap<Tag, Load>,
+    /// Flows per backend server whose client waits, but not for a request that
+    /// counts as outstanding, as of the last update.
+    uncounted: HashMap<Tag, u32>,
     changes: ReplicationQueue,
 }
 
@@ -83,6 +93,27 @@
         waiting.map(move |f| (f.tag, now.since(f.waiting_since)))
     }
 
+    /// Iterates over the routes of all flows, and whether a request is outstanding.
+    pub fn routes(&self, now: Time) -> impl Iterator<Item = (SocketAddrV4, bool)> {
+        let flows = self.flows.iter();
+        flows.map(move |(id, f)| (id.service, is_outstanding(f, now)))
+    }
+
+    /// Counts the outstanding requests for [`FlowTable::outstanding`].
+    pub fn update_outstanding(&mut self, now: Time) {
+        self.uncounted.clear();
+        let waiting = self.flows.values().filter(|f| f.is_waiting);
+        for flow in waiting.filter(|f| !is_outstanding(f, now)) {
+            *self.uncounted.entry(flow.tag).or_default() += 1;
+        }
+    }
+
+    /// Returns the number of outstanding requests at a backend server.
+    pub fn outstanding(&self, tag: Tag) -> u32 {
+        let uncounted = self.uncounted.get(&tag).copied().unwrap_or(0);
+        self.load(tag).waiting.saturating_sub(uncounted)
+    }
+
     /// Returns the backend servers tried for an opening flow, and whether
     /// `copy` was seen before. `None` if the flow is new.
     pub fn handshake_attempts(&self, id: &FlowId, copy: u32, now: Time) -> Option<(&[Tag], bool)> {
@@ -146,6 +177,15 @@
         signal
     }
 
+    /// Records how many requests were outstanding at the backend server when a client
+    /// sent the one that starts now, if any.
+    pub fn record_outstanding(&mut self, id: &FlowId, outstanding: u32, now: Time) {
+        let flow = self.flows.get_mut(id);
+        if let Some(flow) = flow.filter(|f| f.is_waiting && f.waiting_since == now) {
+            flow.outstanding = outstanding;
+        }
+    }
+
     /// Restores a flow from a replica of an earlier run.
     pub fn restore(&mut self, record: &FlowRecord, now: Time) {
         let Some(tag) = record.tag else {
@@ -276,3 +316,8 @@
         }
     }
 }
+
+/// Returns whether a flow has a request that counts as outstanding in the sums.
+fn is_outstanding(flow: &Flow, now: Time) -> bool {
+    flow.is_waiting && !flow.is_adopted && now.since(flow.waiting_since) < MAX_COUNTED_WAIT
+}
--- a/src/core/steering/handshakes.rs
+++ b/src/core/steering/handshakes.rs
@@ -69,19 +69,21 @@
 
 impl Handshakes {
     /// Handles a new flow of a client. If the client's previous attempt failed
-    /// recently, its backend server is marked as rejecting.
-    pub fn detect_retry(&mut self, client: Ipv4Addr, now: Time) {
+    /// recently, its backend server is marked as rejecting. Returns whether it is.
+    pub fn detect_retry(&mut self, client: Ipv4Addr, now: Time) -> bool {
         let Some(last) = self.attempts.remove(&client) else {
-            return;
+            return false;
         };
         // Two users behind one client address may open flows at the same time.
         let rejected_after = self
             .mean_ms
             .map(|mean_ms| Millis((REJECTED_FACTOR * mean_ms) as u64));
         let is_retry = |after: Millis| (after..RETRY_WINDOW).contains(&now.since(last.at));
-        if rejected_after.is_some_and(is_retry) {
+        let was_rejected = rejected_after.is_some_and(is_retry);
+        if was_rejected {
             self.rejecting.insert(last.tag, now);
         }
+        was_rejected
     }
 
     /// Records that a client's opening packet was forwarded to a backend
@@ -109,6 +111,12 @@
         *mean_ms += SMOOTHING_FACTOR * (elapsed - *mean_ms);
     }
 
+    /// Returns the mean handshake time in milliseconds; `None` before the first
+    /// handshake.
+    pub fn mean_ms(&self) -> Option<f64> {
+        self.mean_ms
+    }
+
     /// Returns whether a backend server rejects new flows or leaves them
     /// unanswered.
     pub fn is_failing(&self, tag: Tag, now: Time) -> bool {
@@ -139,9 +147,22 @@
             .retain(|_, last| now.since(last.at) < RETRY_WINDOW);
     }
 
-    fn late_after(&self) -> Millis {
-        let [min, max] = LATE_BOUNDS_MS;
-        let late_after = self.mean_ms.map_or(max, |mean_ms| LATE_FACTOR * mean_ms);
-        Millis(late_after.clamp(min, max) as u64)
+    /// Returns the time after which a handshake with any backend server is late.
+    pub fn late_after(&self) -> Millis {
+        late_after(self.mean_ms)
     }
+
+    /// Iterates over the flows that have not opened, in arbitrary order: the backend
+    /// server and when the opening packet was sent.
+    pub fn unopened(&self) -> impl Iterator<Item = (Tag, Time)> {
+        let unopened = self.unopened.iter();
+        unopened.flat_map(|(tag, sent)| sent.iter().map(|at| (*tag, *at)))
+    }
+}
+
+/// Returns the time after which a handshake is late, by the mean handshake time.
+pub fn late_after(mean_ms: Option<f64>) -> Millis {
+    let [min, max] = LATE_BOUNDS_MS;
+    let late_after = mean_ms.map_or(max, |mean_ms| LATE_FACTOR * mean_ms);
+    Millis(late_after.clamp(min, max) as u64)
 }
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -65,6 +65,8 @@
 mod takeover;
 
 pub use action::Action;
+use admission::Admission;
+use capability::Capability;
 use cold::ColdBudget;
 use cold_grants::{
     ColdAssignments,
@@ -83,12 +85,21 @@
 use handshakes::Handshakes;
 pub use identity::Identity;
 use known_peer::HEARTBEAT_INTERVAL;
-use loads::RemoteLoads;
+use loads::{
+    LoadSender,
+    RemoteLoads,
+    RouteArrivals, //
+};
 use members::Members;
+use paths::Paths;
 use peers::{
     Contact,
     FleetRecord, //
 };
+use placement::{
+    spill::SpillPlan,
+    spill_update::PlacementOptions, //
+};
 use readiness::Readiness;
 use registration::{
     ReaderStatus,
@@ -136,8 +147,10 @@
     cold_assignments: ColdAssignments,
     cold_grants: HeldGrants,
     response_times: ResponseTimes,
+    capability: Capability,
     stalls: Stalls,
     handshakes: Handshakes,
+    paths: Paths,
     unlisted: UnlistedTags,
     peers: Members,
     /// VM that holds replicas of this VM's flows.
@@ -147,7 +160,12 @@
     takeovers: Takeovers,
     registration: Registration,
     admission: SnapshotAdmission,
+    flow_admission: Admission,
     remote_loads: RemoteLoads,
+    load_sender: LoadSender,
+    route_arrivals: RouteArrivals,
+    placement_options: PlacementOptions,
+    spill: SpillPlan,
     sync: SyncState,
     /// Invariant: one per kind, in the order of [`Kind::ALL`].
     readers: [StoreReader; Kind::ALL.len()],
@@ -181,7 +199,7 @@
             takeovers: Takeovers::default(),
             registration: Registration::default(),
             admission: SnapshotAdmission::default(),
-            me,
+            flow_admission: Admission::default(),
             routing: Routing::default(),
             directory: Directory::default(),
             flows: FlowTable::default(),
@@ -190,10 +208,16 @@
             cold_assignments: ColdAssignments::default(),
             cold_grants: HeldGrants::default(),
             response_times: ResponseTimes::default(),
+            capability: Capability::default(),
             stalls: Stalls::default(),
             handshakes: Handshakes::default(),
+            paths: Paths::open(me.data_centre.clone()),
             unlisted: UnlistedTags::default(),
             remote_loads: RemoteLoads::default(),
+            load_sender: LoadSender::default(),
+            route_arrivals: RouteArrivals::default(),
+            placement_options: PlacementOptions::default(),
+            spill: SpillPlan::default(),
             sync: SyncState::default(),
             readers: Kind::ALL.map(StoreReader::open),
             rng: SmallRng::seed_from_u64(rng_seed),
@@ -204,6 +228,7 @@
             actions: Vec::new(),
             decisions: Vec::new(),
             response_samples: Vec::new(),
+            me,
         }
     }
 
@@ -268,13 +293,18 @@
         self.reset_ended_backends(now);
         self.reset_unlisted(now);
         self.remove_lost_peers(now);
+        self.update_paths(now);
         self.probe_unopened(now);
         self.send_probes(now);
         self.reset_lost_flows(now);
         self.update_readiness(now);
         self.replicate(now);
         self.request_unknown(now);
+        self.update_loads(now);
+        self.update_spill(now);
         self.update_stalls(now);
+        self.update_capability(now);
+        self.update_admission(now);
         if self.cold_assignments.is_due(now) {
             self.assign_cold(now);
         }
@@ -328,6 +358,8 @@
             waiting: self.flows.waiting(),
             backends: self.available_backends(now).count(),
             dead: self.detector.dead().count(),
+            estimated: self.capability.estimated(),
+            too_fast: self.capability.doubtful(now),
             replicas: self.replicas.len(),
             peers: self.peers.live(now).count(),
             era: self.sync.era().unwrap_or_default(),
@@ -349,7 +381,8 @@
     /// routers send its clients to other VMs.
     fn update_readiness(&mut self, now: Time) {
         let has_available = self.available_backends(now).next().is_some();
-        let can_serve = self.is_synced() && (has_available || self.has_no_backend());
+        let has_no_alternative = self.has_no_backend() || self.is_without_alternative(now);
+        let can_serve = self.is_synced() && (has_available || has_no_alternative);
         if self.readiness.update(can_serve, now) {
             let is_ready = self.readiness.is_ready;
             let backends = self.available_backends(now).count();
@@ -363,6 +396,7 @@
         self.directory
             .iter()
             .filter(move |(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
+            .filter(move |(_, e)| !self.paths.is_lost(&e.server.data_centre, now))
             .map(|(tag, _)| tag)
             .filter(|tag| self.detector.health(*tag) < HealthState::Unreachable)
             .filter(|tag| !self.detector.is_unconfirmed(*tag))
--- a/src/core/steering/placement/mod.rs
+++ b/src/core/steering/placement/mod.rs
@@ -4,7 +4,8 @@
 //! occasional requests, on backend servers with 2 to 4 slots, in data centres
 //! that may be partitioned at any time. A flow within the client's data centre
 //! survives a partition, so the local data centre is preferred unless it is
-//! much busier than the others.
+//! much busier than the others. Where the operators have set the cost of traffic
+//! between data centres, the plan in [`spill`] decides instead.
 
 use rand::{
     Rng,
@@ -12,10 +13,17 @@
 };
 use smallvec::SmallVec;
 
+mod sampling;
 pub mod spill;
+pub mod spill_distribution;
+pub mod spill_update;
+pub mod spill_wait;
+
+mod spill_service;
 
 use super::{
     Identity,
+    capability::Capability,
     cold::{
         ColdBudget,
         DISCOVERY_TIME, //
@@ -33,12 +41,19 @@
     flows::FlowTable,
     handshakes::Handshakes,
     loads::RemoteLoads,
+    paths::Paths,
     response_times::ResponseTimes,
     routing::Routing,
     stalls::Stalls,
     tag::Tag,
 };
-use crate::{core::names::ServiceId, kernel::clock::Time};
+use crate::{
+    core::names::{
+        DataCentreId,
+        ServiceId, //
+    },
+    kernel::clock::Time,
+};
 
 /// How many times busier the local data centre may be before flows spill over.
 const SPILL_RATIO: f64 = 2.0;
@@ -65,16 +80,23 @@
     pub remote_loads: &'a RemoteLoads,
     /// Response times of the backend servers.
     pub response_times: &'a ResponseTimes,
+    /// Service times of the backend servers in a large fleet.
+    pub capability: &'a Capability,
     /// Backend servers that answer no request.
     pub stalls: &'a Stalls,
     /// Backend servers that reject new flows or leave them unanswered.
     pub handshakes: &'a Handshakes,
+    /// Paths to the data centres of the backend servers.
+    pub paths: &'a Paths,
     /// New flows sent to backend servers in cold start.
     pub cold_budget: &'a ColdBudget,
     /// Backend servers in cold start to which this VM may send flows.
     pub cold_grants: &'a HeldGrants,
     /// Health of the backend servers.
     pub detector: &'a FailureDetector,
+    /// Data centre that should get the flow by the spill plan. `None` without a
+    /// plan.
+    pub planned: Option<DataCentreId>,
     /// Current time.
     pub now: Time,
 }
@@ -85,6 +107,7 @@
     tag: Tag,
     fitness: Fitness,
     is_local: bool,
+    is_path_lost: bool,
     load: f64,
 }
 
@@ -101,18 +124,24 @@
         let mut candidates = self.candidates(service);
         let best = candidates.iter().map(|c| c.fitness).min()?;
         candidates.retain(|c| c.fitness == best);
+        if candidates.iter().any(|c| !c.is_path_lost) {
+            candidates.retain(|c| !c.is_path_lost);
+        }
         if candidates.iter().any(|c| !avoid.contains(&c.tag)) {
             candidates.retain(|c| !avoid.contains(&c.tag));
         }
-        if self.prefers_local(&candidates) {
+        if candidates.iter().any(|c| self.is_planned(c)) {
+            candidates.retain(|c| self.is_planned(c));
+        } else if self.prefers_local(service, &candidates) {
             candidates.retain(|c| c.is_local);
         }
-        Some((least_loaded(&candidates, rng)?, best))
+        Some((self.select(&mut candidates, rng)?, best))
     }
 
     fn candidates(&self, service: &ServiceId) -> SmallVec<[Candidate; 32]> {
         let pool = self.directory.pool(service);
-        let slowness = self.response_times.slowness(pool, self.now);
+        let slowness = || self.response_times.slowness(pool, self.now);
+        let slowness = self.capability.factors(pool).unwrap_or_else(slowness);
         let stalled = self.stalls.avoided(pool, self.now);
         pool.iter()
             .zip(slowness)
@@ -124,12 +153,14 @@
         let entry = self.directory.entry(tag)?;
         let fitness = match self.fitness(tag, entry) {
             Fitness::Ready if stalled.contains(&tag) => Fitness::Doubtful,
+            Fitness::Ready if self.capability.is_doubtful(tag, self.now) => Fitness::Doubtful,
             fitness => fitness,
         };
         (fitness < Fitness::Unfit).then(|| Candidate {
             tag,
             fitness,
             is_local: entry.server.data_centre == self.me.data_centre,
+            is_path_lost: self.paths.is_lost(&entry.server.data_centre, self.now),
             load: self.slot_load(tag, entry) * slowness,
         })
     }
@@ -139,7 +170,8 @@
         if fitness == Fitness::Cold && !self.may_send_cold(tag, &entry.server.service) {
             return Fitness::Unfit;
         }
-        let fails_handshakes = self.handshakes.is_failing(tag, self.now);
+        let fails_handshakes = self.handshakes.is_failing(tag, self.now)
+            || self.paths.is_lost(&entry.server.data_centre, self.now);
         match self.detector.health(tag) {
             HealthState::Healthy if !fails_handshakes => fitness,
             // As `Fitness::Doubtful`, it would get flows that the cold-start
@@ -176,13 +208,19 @@
         (1.0 + flows + WAITING_WEIGHT * waiting) / f64::from(entry.server.slots.max(1))
     }
 
-    fn prefers_local(&self, candidates: &[Candidate]) -> bool {
+    fn is_planned(&self, candidate: &Candidate) -> bool {
+        let entry = self.directory.entry(candidate.tag);
+        entry.is_some_and(|e| Some(&e.server.data_centre) == self.planned.as_ref())
+    }
+
+    fn prefers_local(&self, service: &ServiceId, candidates: &[Candidate]) -> bool {
         let (local, remote): (Vec<&Candidate>, Vec<&Candidate>) =
             candidates.iter().partition(|c| c.is_local);
         if local.is_empty() || remote.is_empty() {
             return !local.is_empty();
         }
-        let (local, remote) = (mean_load(&local), mean_load(&remote));
+        let remote = mean_load(&remote).max(self.remote_demand(service));
+        let local = mean_load(&local);
         local <= SPILL_FLOOR.max(remote * SPILL_RATIO)
     }
 }
--- a/src/core/steering/probing.rs
+++ b/src/core/steering/probing.rs
@@ -29,6 +29,9 @@
 impl Steering {
     /// Processes the outcome of a probe.
     pub fn on_probe(&mut self, tag: Tag, outcome: ProbeOutcome, now: Time) {
+        if outcome == ProbeOutcome::Accepted {
+            self.record_path_probe(tag, now);
+        }
         let was_dead = self.detector.health(tag) == HealthState::Dead;
         if self.detector.on_probe(tag, outcome, now) {
             self.declare_dead(tag, now);
@@ -112,7 +115,7 @@
 
     pub(super) fn remove_lost_peers(&mut self, now: Time) {
         for lost in self.peers.take_lost(now) {
-            self.remote_loads.replace(&lost.loads, &[]);
+            self.remote_loads.remove(lost.address);
             self.record_peer(false, lost.contact());
             // A VM that is not a neighbour stops its heartbeats when it no longer
             // needs this VM.
--- a/src/core/steering/steer.rs
+++ b/src/core/steering/steer.rs
@@ -68,7 +68,10 @@
             match self.flows.handshake_attempts(&packet.flow, copy, now) {
                 None => {
                     let client = *packet.flow.client.ip();
-                    self.handshakes.detect_retry(client, now);
+                    let was_rejected = self.handshakes.detect_retry(client, now);
+                    if !self.admits(packet, copy, was_rejected, now) {
+                        return Verdict::Reset(ResetReason::Overload);
+                    }
                     SmallVec::new()
                 }
                 // A packet may be duplicated on the way.
@@ -81,6 +84,9 @@
         let Some((tag, fitness)) = self.place_flow(packet, &attempted, now) else {
             return self.refuse_flow(now);
         };
+        if self.is_behind_lost_path(tag, now) {
+            return Verdict::Reset(ResetReason::NoBackend);
+        }
         self.flows.record_attempt(packet, copy, tag, now);
         self.handshakes
             .record_attempt(*packet.flow.client.ip(), tag, now);
@@ -101,9 +107,9 @@
     /// Refuses a new flow that no backend server can take. While the routers
     /// may not have noticed yet that this VM is not ready, the packet is
     /// dropped: the client's retransmission then reaches a VM that can serve
-    /// it.
+    /// it. If all paths are lost, no VM of this data centre can serve it.
     fn refuse_flow(&self, now: Time) -> Verdict {
-        if self.readiness.awaits_router_notice(now) {
+        if self.readiness.awaits_router_notice(now) && !self.has_lost_all_paths(now) {
             return Verdict::Drop(DropReason::NoBackend);
         }
         Verdict::Reset(ResetReason::NoBackend)
@@ -131,7 +137,10 @@
             if fitness == Fitness::Ready {
                 return Some((tag, fitness));
             }
-            if found.is_none_or(|(_, best)| fitness < best) {
+            let is_better = |(held, best): (Tag, Fitness)| {
+                fitness < best || (fitness == best && self.is_path_lost(held, now))
+            };
+            if found.is_none_or(is_better) {
                 found = Some((tag, fitness));
             }
         }
@@ -144,6 +153,7 @@
         attempted: &[Tag],
         now: Time,
     ) -> Option<(Tag, Fitness)> {
+        let planned = self.spill.next_data_centre(service, now);
         let placement = Placement {
             me: &self.me,
             started_at: self.started_at,
@@ -152,11 +162,14 @@
             flows: &self.flows,
             remote_loads: &self.remote_loads,
             response_times: &self.response_times,
+            capability: &self.capability,
             stalls: &self.stalls,
             handshakes: &self.handshakes,
+            paths: &self.paths,
             cold_budget: &self.cold_budget,
             cold_grants: &self.cold_grants,
             detector: &self.detector,
+            planned,
             now,
         };
         placement.choose(service, attempted, &mut self.rng)
@@ -176,6 +189,7 @@
         match verdict {
             Verdict::Forward(_) => {
                 let signal = self.flows.observe(packet, tag, closes || rejects, now);
+                self.record_request(packet, tag, now);
                 self.record_signal(signal, packet, now);
                 if self.detector.health(tag) == HealthState::Dead {
                     self.detector.request_probe(tag);
@@ -225,12 +239,20 @@
                 self.detector.mark_alive(tag, now);
                 let client = *packet.flow.client.ip();
                 self.handshakes.record_success(client, tag, elapsed);
+                self.record_path_opened(tag, elapsed, now);
+                self.flow_admission
+                    .record_opened(client, packet.flow.service);
             }
-            BackendSignal::Answered { tag, elapsed } => {
+            BackendSignal::Answered {
+                tag,
+                elapsed,
+                outstanding,
+            } => {
                 self.detector.mark_alive(tag, now);
                 self.stalls.record_answer(tag, now);
                 if let Some(elapsed) = elapsed {
                     self.response_times.record(tag, elapsed, now);
+                    self.record_service_time(tag, elapsed, outstanding, now);
                     self.response_samples.push(elapsed);
                 }
             }
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a VM that steers by tag, in the OpenMetrics text format.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::{
     encoding::{
         EncodeLabelSet,
@@ -8,7 +10,10 @@
     metrics::{
         counter::Counter,
         family::Family,
-        gauge::ConstGauge,
+        gauge::{
+            ConstGauge,
+            Gauge, //
+        },
         histogram::Histogram, //
     },
     registry::Registry,
@@ -17,6 +22,7 @@
 use crate::{
     core::steering::{
         Steering,
+        admission::Refusal,
         decision::Decision,
         failure_detector::ProbeOutcome, //
         packet::Verdict,
@@ -54,11 +60,27 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ServiceLabels {
+    service: String,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct KindLabels {
     kind: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RouteLabels {
+    route: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RefusalLabels {
+    route: String,
+    reason: String,
+}
+
 /// The counters and histograms that the I/O tasks update.
 #[derive(Debug)]
 pub struct Metrics {
@@ -158,6 +180,9 @@
         let mut registry = Registry::with_prefix(PREFIX);
         self.add_counters(&mut registry);
         add_state_gauges(&mut registry, steering, now);
+        add_load_gauges(&mut registry, steering, now);
+        add_admission_counters(&mut registry, steering);
+        add_spill_shares(&mut registry, steering, now);
         add_gauge(
             &mut registry,
             "log_lines_lost",
@@ -206,13 +231,40 @@
         Decision::PacketDropped { reason, .. } => reason.to_string(),
         Decision::StoreUpdateApplied { kind, source, .. } => format!("{kind} from {source}"),
         Decision::StoreAnswers { kind, .. } => kind.to_string(),
+        Decision::PathLost { data_centre, .. } | Decision::PathRestored { data_centre, .. } => {
+            data_centre.to_string()
+        }
         _ => String::new(),
     }
 }
 
+/// Adds the new flows of the routes under admission control: `first_try` and `retry`
+/// count all of them, the reasons for a refusal those that were refused.
+fn add_admission_counters(registry: &mut Registry, steering: &Steering) {
+    let flows: Family<RefusalLabels, Counter> = Family::default();
+    for (route, counts) in steering.admission_counts() {
+        let add = |reason: String, count: u64| {
+            let route = route.to_string();
+            flows
+                .get_or_create(&RefusalLabels { route, reason })
+                .inc_by(count);
+        };
+        add("first_try".to_owned(), counts.first_tries);
+        add("retry".to_owned(), counts.retries);
+        for (refusal, count) in Refusal::ALL.into_iter().zip(counts.refused) {
+            add(format!("refused_{refusal}"), count);
+        }
+    }
+    registry.register(
+        "admission_flows",
+        "New flows on routes whose service has routes of different priority",
+        flows,
+    );
+}
+
 fn add_state_gauges(registry: &mut Registry, steering: &Steering, now: Time) {
     let stats = steering.stats(now);
-    let ages: Family<KindLabels, prometheus_client::metrics::gauge::Gauge> = Family::default();
+    let ages: Family<KindLabels, Gauge> = Family::default();
     for (kind, age) in Kind::ALL.into_iter().zip(stats.ages) {
         let kind = kind.to_string();
         let age = age.map_or(-1, |a| a.0 as i64);
@@ -241,6 +293,16 @@
             "Backend servers held for dead",
             stats.dead as u64,
         ),
+        (
+            "backends_estimated",
+            "Backend servers whose service time is known",
+            stats.estimated as u64,
+        ),
+        (
+            "backends_too_fast",
+            "Backend servers that respond far too fast",
+            stats.too_fast as u64,
+        ),
         (
             "replicas",
             "Flows of other VMs that are known here",
@@ -263,6 +325,41 @@
     }
 }
 
+fn add_load_gauges(registry: &mut Registry, steering: &Steering, now: Time) {
+    let loads = steering.remote_loads();
+    let age = loads.age(now).map_or(-1, |a| a.0 as i64);
+    registry.register(
+        "loads_age_milliseconds",
+        "How old the loads of the fleet are, -1 if there are none",
+        ConstGauge::new(age),
+    );
+    let outstanding: Family<RouteLabels, prometheus_client::metrics::gauge::Gauge> =
+        Family::default();
+    for demand in loads.routes() {
+        let route = demand.route.to_string();
+        let gauge = outstanding.get_or_create(&RouteLabels { route });
+        gauge.set(i64::from(demand.outstanding));
+    }
+    registry.register(
+        "route_outstanding",
+        "Outstanding requests of the whole fleet on a route",
+        outstanding,
+    );
+}
+
+fn add_spill_shares(registry: &mut Registry, steering: &Steering, now: Time) {
+    let shares: Family<ServiceLabels, Gauge<f64, AtomicU64>> = Family::default();
+    for (service, share) in steering.spill_shares(now) {
+        let service = service.to_string();
+        shares.get_or_create(&ServiceLabels { service }).set(share);
+    }
+    registry.register(
+        "spill_share",
+        "Share of the demand of this data centre that others should serve",
+        shares,
+    );
+}
+
 fn add_gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
     let value = i64::try_from(value).unwrap_or(i64::MAX);
     registry.register(name, help, ConstGauge::new(value));
