--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -73,14 +73,8 @@
     HeldGrants, //
 };
 use decision::Decision;
-use directory::{
-    Directory,
-    Fitness, //
-};
-use failure_detector::{
-    FailureDetector,
-    HealthState, //
-};
+use directory::Directory;
+use failure_detector::FailureDetector;
 use flows::FlowTable;
 use handshakes::Handshakes;
 pub use identity::Identity;
@@ -119,7 +113,6 @@
 };
 use store_reader::StoreReader;
 use sync_state::SyncState;
-use tag::Tag;
 use takeover::Takeovers;
 use unlisted::UnlistedTags;
 
@@ -377,37 +370,6 @@
         });
     }
 
-    /// Reports this VM as not ready when it cannot place any flow, so that the
-    /// routers send its clients to other VMs.
-    fn update_readiness(&mut self, now: Time) {
-        let has_available = self.available_backends(now).next().is_some();
-        let has_no_alternative = self.has_no_backend() || self.is_without_alternative(now);
-        let can_serve = self.is_synced() && (has_available || has_no_alternative);
-        if self.readiness.update(can_serve, now) {
-            let is_ready = self.readiness.is_ready;
-            let backends = self.available_backends(now).count();
-            self.decisions
-                .push(Decision::Readiness { is_ready, backends });
-        }
-    }
-
-    /// Returns the backend servers that may get new flows.
-    fn available_backends(&self, now: Time) -> impl Iterator<Item = Tag> {
-        self.directory
-            .iter()
-            .filter(move |(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
-            .filter(move |(_, e)| !self.paths.is_lost(&e.server.data_centre, now))
-            .map(|(tag, _)| tag)
-            .filter(|tag| self.detector.health(*tag) < HealthState::Unreachable)
-            .filter(|tag| !self.detector.is_unconfirmed(*tag))
-    }
-
-    /// Returns whether no backend server exists at all. Other VMs could not
-    /// place flows either, so this VM stays ready.
-    fn has_no_backend(&self) -> bool {
-        self.directory.iter().all(|(_, e)| !e.may_hold_flows())
-    }
-
     fn idle_timeout(&self) -> Millis {
         /// Used until the configuration is known.
         const DEFAULT: Millis = Millis::from_secs(15);
--- a/src/core/steering/readiness.rs
+++ b/src/core/steering/readiness.rs
@@ -1,5 +1,12 @@
 //! Readiness for new flows, as reported to the routers.
 
+use super::{
+    Steering,
+    decision::Decision,
+    directory::Fitness,
+    failure_detector::HealthState,
+    tag::Tag, //
+};
 use crate::kernel::clock::{
     Millis,
     Time, //
@@ -43,3 +50,36 @@
         was_ready != self.is_ready
     }
 }
+
+impl Steering {
+    /// Reports this VM as not ready when it cannot place any flow, so that the
+    /// routers send its clients to other VMs.
+    pub(super) fn update_readiness(&mut self, now: Time) {
+        let has_available = self.available_backends(now).next().is_some();
+        let has_no_alternative = self.has_no_backend() || self.is_without_alternative(now);
+        let can_serve = self.is_synced() && (has_available || has_no_alternative);
+        if self.readiness.update(can_serve, now) {
+            let is_ready = self.readiness.is_ready;
+            let backends = self.available_backends(now).count();
+            self.decisions
+                .push(Decision::Readiness { is_ready, backends });
+        }
+    }
+
+    /// Returns the backend servers that may get new flows.
+    pub(super) fn available_backends(&self, now: Time) -> impl Iterator<Item = Tag> {
+        self.directory
+            .iter()
+            .filter(move |(_, e)| self.directory.fitness(e, now) < Fitness::Unfit)
+            .filter(move |(_, e)| !self.paths.is_lost(&e.server.data_centre, now))
+            .map(|(tag, _)| tag)
+            .filter(|tag| self.detector.health(*tag) < HealthState::Unreachable)
+            .filter(|tag| !self.detector.is_unconfirmed(*tag))
+    }
+
+    /// Returns whether no backend server exists at all. Other VMs could not
+    /// place flows either, so this VM stays ready.
+    pub(super) fn has_no_backend(&self) -> bool {
+        self.directory.iter().all(|(_, e)| !e.may_hold_flows())
+    }
+}
