--- a/src/core/steering/admission/steering.rs
+++ b/src/core/steering/admission/steering.rs
@@ -72,6 +72,9 @@
 
     /// Measures the load and adjusts the accepted shares if that is due.
     pub(in super::super) fn update_admission(&mut self, now: Time) {
+        if !self.placement_options.refuses_by_priority {
+            return;
+        }
         let is_starting = now.since(self.started_at) < START_TIME;
         if is_starting || !self.flow_admission.take_due(now) {
             return;
--- a/src/core/steering/placement/spill_update.rs
+++ b/src/core/steering/placement/spill_update.rs
@@ -54,6 +54,9 @@
     /// Additional time that a client should wait rather than have a request cross
     /// between data centres. `None` if flows leave by the ratio of loads only.
     pub cross_data_centre: Option<Millis>,
+    /// Whether new flows of less urgent routes are refused while a service has too
+    /// little capacity.
+    pub refuses_by_priority: bool,
 }
 
 impl Steering {
--- a/src/settings/steering.rs
+++ b/src/settings/steering.rs
@@ -12,6 +12,7 @@
 //! | `[listen]` | `metrics` | required | TCP, HTTP `/metrics` |
 //! | `[store]` | `address` | required | TCP, HTTP address of the platform's store |
 //! | `[seeds]` | `addresses` | none | other VMs, `IP:PORT,..`; their ports are replaced by that of `announced` |
+//! | `[placement]` | `refuse-by-priority` | no | yes: new flows of less urgent routes are refused while a service has too little capacity |
 //! | `[placement]` | `cross-data-centre-ms` | none | time that a client should wait rather than have a request cross between data centres, 0 to 10000; without it, flows leave a data centre that is twice as busy as the others |
 //! | `[stop]` | `seconds` | 6 | timeout of a graceful stop |
 //!
@@ -54,6 +55,8 @@
 
 const CORES_SYNTAX: &str = "a number above 0 and up to 1024, such as 0.25";
 
+const YES_NO_SYNTAX: &str = "yes or no";
+
 const DEFAULT_MILLICORES: u32 = 1_000;
 
 const DEFAULT_STOP_TIMEOUT: Millis = Millis::from_secs(6);
@@ -125,6 +128,13 @@
     let metrics = rx.required("listen", "metrics", ADDRESS_SYNTAX, parse_address);
     let store = rx.required("store", "address", ADDRESS_SYNTAX, parse_address);
     let seeds = rx.optional("seeds", "addresses", Vec::new(), SEEDS_SYNTAX, parse_seeds);
+    let refuses_by_priority = rx.optional(
+        "placement",
+        "refuse-by-priority",
+        false,
+        YES_NO_SYNTAX,
+        parse_yes_no,
+    );
     let cross_data_centre = rx.optional(
         "placement",
         "cross-data-centre-ms",
@@ -156,7 +166,10 @@
             .iter()
             .map(|seed| SocketAddrV4::new(*seed.ip(), announced.port()))
             .collect(),
-        placement: PlacementOptions { cross_data_centre },
+        placement: PlacementOptions {
+            cross_data_centre,
+            refuses_by_priority,
+        },
         stop_timeout,
         log,
     })
@@ -179,6 +192,14 @@
         .collect()
 }
 
+fn parse_yes_no(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
 fn parse_crossing(text: &str) -> Option<Millis> {
     let crossing = text.parse().ok().map(Millis);
     crossing.filter(|c| *c <= MAX_CROSSING)
--- a/tests/settings_steering.rs
+++ b/tests/settings_steering.rs
@@ -124,6 +124,14 @@
         let settings = with_cost(&cost.to_string()).expect("the cost is in range");
         assert_eq!(settings.placement.cross_data_centre, Some(Millis(cost)));
     }
+    let refuse = |text: &str| {
+        let section = format!("[placement]\nrefuse-by-priority = {text}\n[stop]");
+        SteeringSettings::parse(&render(&[]).replace("[stop]", &section))
+    };
+    let refuses = |text| refuse(text).map(|s| s.placement.refuses_by_priority);
+    assert!(refuses("yes").is_ok_and(|r| r) && refuses("no").is_ok_and(|r| !r));
+    assert!(refuses("maybe").is_err());
+    assert!(!parse(&[]).placement.refuses_by_priority);
     for cost in ["-1", "10001", "0.5", "none"] {
         let e = with_cost(cost).expect_err("an invalid cost is rejected");
         assert!(e.to_string().contains("cross-data-centre-ms"), "{e}");
--- a/tests/steering_overload.rs
+++ b/tests/steering_overload.rs
@@ -8,6 +8,7 @@
             ResetReason,
             Verdict, //
         },
+        placement::spill_update::PlacementOptions,
         store::{
             Kind,
             Value, //
@@ -27,6 +28,12 @@
 /// Starts VMs with a route of each of the given priorities, on ports from 443.
 fn start_sim(data_centres: &[&str], priorities: &[u8]) -> Simulation {
     let mut sim = Simulation::start(data_centres);
+    for vm in 0..data_centres.len() {
+        sim.vm(vm).set_placement_options(PlacementOptions {
+            refuses_by_priority: true,
+            ..PlacementOptions::default()
+        });
+    }
     let mut cfg = configuration(1, &[("web", 1)]);
     let template = cfg.routes.remove(0);
     for (at, priority) in priorities.iter().enumerate() {
--- a/tests/steering_spill.rs
+++ b/tests/steering_spill.rs
@@ -319,8 +319,10 @@
     }
     sim.run(Millis(500));
     let cross_data_centre = cost.map(Millis);
-    sim.vm(0)
-        .set_placement_options(PlacementOptions { cross_data_centre });
+    sim.vm(0).set_placement_options(PlacementOptions {
+        cross_data_centre,
+        ..PlacementOptions::default()
+    });
     for port in 1_000..1_006 {
         assert_eq!(sim.place(0, port), Some(local));
         sim.packet(0, &acknowledgement(port, local, 101, 500));
