--- a/src/core/steering/admission/share.rs
+++ b/src/core/steering/admission/share.rs
@@ -20,8 +20,8 @@
 /// Load per slot to which the shares reduce a service.
 const TARGET: f64 = 1.0;
 
-/// Exponent of the estimate of the accepted load from a utilization above 1. With
-/// 0.5, a burst of three times the load kept the queues full for a second longer.
+/// Exponent of the estimate of the accepted load from a utilization above 1. A lower
+/// one takes more of it for a queue and cuts later.
 const QUEUE_EXPONENT: f64 = 0.75;
 
 /// Interval between two updates.
