--- a/src/core/steering/placement/spill_service.rs
+++ b/src/core/steering/placement/spill_service.rs
@@ -29,8 +29,8 @@
 /// Time over which load that is missing in a data centre is made up for.
 const CORRECTION_TIME: Millis = Millis(3_000);
 
-/// Maximum weight of missing load relative to the wanted one. With sums that are 1.25 s
-/// old and smoothed over 2 s, the correction becomes unstable above 3.
+/// Maximum weight of missing load relative to the wanted one. A higher one overshoots
+/// before the sums, which are old and smoothed, show its effect.
 const MAX_GAIN: f64 = 2.0;
 
 /// Time for which a data centre does not send to one that has sent to it. It
--- a/src/core/steering/placement/spill_wait.rs
+++ b/src/core/steering/placement/spill_wait.rs
@@ -9,9 +9,8 @@
 //! plan that aims at a queue of a certain length oscillates. Backend servers have
 //! short queues and reject the rest, which is worse for a client than any cost.
 
-/// Utilization that no plan exceeds while other data centres have free slots. At 0.95
-/// the share swung between 0.29 and 0.41 where requests wait less than expected
-/// before the slots are full; at 0.93 it settled.
+/// Utilization that no plan exceeds while other data centres have free slots. Above
+/// it, queues change faster than the sums show, and the share that leaves oscillates.
 pub const MAX_UTILIZATION: f64 = 0.92;
 
 /// Utilization from which queues count as full. The margin to [`MAX_UTILIZATION`]
