Place by outstanding requests; an idle flow counts a twentieth of one

Cause: with 3 for a waiting client beside 1 for any open flow, flows whose request was answered, or whose end another VM saw, outweighed requests in progress. A backend server bears requests, not flows; the weight of an idle flow is the share of time in which a long-lived one has a request.

Tests fail before: 0 of 1 requests known after 135 ms; the busy one is chosen.

--- a/src/core/steering/placement/mod.rs
+++ b/src/core/steering/placement/mod.rs
@@ -1,8 +1,9 @@
 //! Choice of the backend server for a new flow.
 //!
-//! Designed for hundreds to thousands of long-lived flows per service with
-//! occasional requests, on backend servers with 2 to 4 slots, in data centres
-//! that may be partitioned at any time. A flow within the client's data centre
+//! Designed for hundreds to thousands of requests per second and service, each in a
+//! flow of its own or in one of many long-lived flows, on backend servers with 2 to 4
+//! slots, in data centres that may be partitioned at any time. What a backend server
+//! bears are its outstanding requests; an idle flow may send one later. A flow within the client's data centre
 //! survives a partition, so the local data centre is preferred unless it is
 //! much busier than the others. Where the operators have set the cost of traffic
 //! between data centres, the plan in [`spill`] decides instead.
@@ -58,11 +59,12 @@
 /// How many times busier the local data centre may be before flows spill over.
 const SPILL_RATIO: f64 = 2.0;
 
-/// Load per slot below which a data centre is never considered busy.
-const SPILL_FLOOR: f64 = 4.0;
+/// Outstanding requests per slot below which a data centre is never considered busy.
+const SPILL_FLOOR: f64 = 1.0;
 
-/// Weight of a waiting client relative to an idle flow.
-const WAITING_WEIGHT: f64 = 3.0;
+/// Load of an idle flow, in outstanding requests: the share of the time in which a
+/// long-lived flow has one.
+const IDLE_FLOW_LOAD: f64 = 0.05;
 
 /// Inputs of a placement.
 pub struct Placement<'a> {
@@ -199,13 +201,12 @@
             .has_room(tag, per_second, grants.is_sole_granter, self.now)
     }
 
-    /// Load per slot, including the new flow.
+    /// Load per slot in outstanding requests, with the new flow as an idle one.
     fn slot_load(&self, tag: Tag, entry: &Entry) -> f64 {
         let own = self.flows.load(tag);
         let others = self.remote_loads.load(tag);
-        let flows = f64::from(own.flows + others.flows);
-        let waiting = f64::from(own.waiting + others.waiting);
-        (1.0 + flows + WAITING_WEIGHT * waiting) / f64::from(entry.server.slots.max(1))
+        let load = flow_load(own.flows + others.flows + 1, own.waiting + others.waiting);
+        load / f64::from(entry.server.slots.max(1))
     }
 
     fn is_planned(&self, candidate: &Candidate) -> bool {
@@ -225,6 +226,13 @@
     }
 }
 
+/// Returns the load of a number of flows, `waiting` of which have an outstanding
+/// request, in outstanding requests.
+fn flow_load(flows: u32, waiting: u32) -> f64 {
+    let idle = flows.saturating_sub(waiting);
+    f64::from(waiting) + IDLE_FLOW_LOAD * f64::from(idle)
+}
+
 fn mean_load(candidates: &[&Candidate]) -> f64 {
     let sum: f64 = candidates.iter().map(|c| c.load).sum();
     sum / candidates.len() as f64
--- a/src/core/steering/placement/sampling.rs
+++ b/src/core/steering/placement/sampling.rs
@@ -8,7 +8,7 @@
 use super::{
     Candidate,
     Placement,
-    WAITING_WEIGHT,
+    flow_load,
     least_loaded, //
 };
 use crate::core::{
@@ -38,8 +38,7 @@
         if !self.remote_loads.are_shared() {
             return 0.0;
         }
-        let load =
-            |d: &ServiceDemand| f64::from(d.flows) + WAITING_WEIGHT * f64::from(d.outstanding);
+        let load = |d: &ServiceDemand| flow_load(d.flows, d.outstanding);
         let demand = self.remote_loads.demand(service).iter();
         let demand = demand.filter(|d| d.destination != self.me.data_centre);
         let pool = self.directory.pool(service).iter();
--- a/tests/steering_placing.rs
+++ b/tests/steering_placing.rs
@@ -24,6 +24,7 @@
     Simulation,
     acknowledgement,
     backend,
+    data,
     opening, //
 };
 
@@ -88,6 +89,41 @@
     }
 }
 
+/// Answers a request load where each client opens a flow of its own: what counts are
+/// the requests in progress, not the flows that are open.
+#[test]
+fn an_outstanding_request_outweighs_many_idle_flows() {
+    let mut sim = Simulation::start(&["a"]);
+    sim.configure(1, &[("web", 1)]);
+    let idle = sim.put_backend(&backend(1, "a"));
+    sim.run(Millis(200));
+    open_flows(&mut sim, 1, 12);
+    let busy = sim.put_backend(&backend(2, "a"));
+    sim.run(Millis(500));
+    assert_eq!(sim.place(0, 2_000), Some(busy));
+    sim.packet(0, &acknowledgement(2_000, busy, 101, 500));
+    sim.packet(0, &data(2_000, busy, 101, 500));
+    assert_eq!(sim.place(0, 2_001), Some(idle));
+}
+
+/// Guards against VMs that load the same backend servers and learn of each other's
+/// requests only when these have ended.
+#[test]
+fn a_small_data_centre_shares_its_loads_within_the_time_of_a_request() {
+    let mut sim = Simulation::start(&["a", "a"]);
+    sim.configure(1, &[("web", 1)]);
+    let tag = sim.put_backend(&backend(1, "a"));
+    sim.run(Millis(600));
+    for port in 1..=10 {
+        sim.place(0, port);
+        sim.run(Millis(135));
+        let load = sim.vm(1).remote_loads().load(tag);
+        assert_eq!(load.waiting, 1, "flow {port}");
+        sim.packet(0, &acknowledgement(port, tag, 101, 500));
+        sim.run(Millis(140));
+    }
+}
+
 #[test]
 fn a_traffic_split_is_exact_at_any_moment() {
     let mut sim = Simulation::start(&["a"]);
