Do not wait for a path verdict while nobody can serve

Found in the reading of the last change: a VM that stays ready because no backend server exists, or because the clients of all data centres are with VMs that cannot serve either, waited for the verdict of its peers all the same. The test fails before: not ready 200 ms after its start.

--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -250,11 +250,11 @@
                 continue;
             }
             let shares_backends = is_full_mesh && known.is_live_in(&self.me.data_centre, now);
-            known.next = now
-                + match shares_backends {
-                    true => LOCAL_HEARTBEAT_INTERVAL,
-                    false => known.heartbeat_interval(now),
-                };
+            let interval = match shares_backends {
+                true => LOCAL_HEARTBEAT_INTERVAL,
+                false => known.heartbeat_interval(now),
+            };
+            known.next = now + interval;
             known.unanswered = known.unanswered.saturating_add(1);
             if is_neighbour && now.since(known.heard) >= HEARTBEAT_INTERVAL {
                 known.silent_since.get_or_insert(now);
--- a/src/core/steering/placement/mod.rs
+++ b/src/core/steering/placement/mod.rs
@@ -3,9 +3,9 @@
 //! Designed for hundreds to thousands of requests per second and service, each in a
 //! flow of its own or in one of many long-lived flows, on backend servers with 2 to 4
 //! slots, in data centres that may be partitioned at any time. What a backend server
-//! bears are its outstanding requests; an idle flow may send one later. A flow within the client's data centre
-//! survives a partition, so the local data centre is preferred unless it is
-//! much busier than the others. Where the operators have set the cost of traffic
+//! bears are its outstanding requests; an idle flow may send one later. A flow within
+//! the client's data centre survives a partition, so the local data centre is preferred
+//! unless it is much busier than the others. Where the operators have set the cost of traffic
 //! between data centres, the plan in [`spill`] decides instead.
 
 use rand::{
--- a/src/core/steering/readiness.rs
+++ b/src/core/steering/readiness.rs
@@ -60,8 +60,8 @@
     pub(super) fn update_readiness(&mut self, now: Time) {
         let has_available = self.available_backends(now).next().is_some();
         let has_no_alternative = self.has_no_backend() || self.is_without_alternative(now);
-        let can_serve = self.is_synced() && (has_available || has_no_alternative);
-        let can_serve = can_serve && !self.awaits_path_verdict(now);
+        let has_path = has_available && !self.awaits_path_verdict(now);
+        let can_serve = self.is_synced() && (has_path || has_no_alternative);
         if self.readiness.update(can_serve, now) {
             let is_ready = self.readiness.is_ready;
             let backends = self.available_backends(now).count();
--- a/tests/steering_paths.rs
+++ b/tests/steering_paths.rs
@@ -330,6 +330,16 @@
     assert!(all().all(|vm| net.sim.vm(vm).is_ready()));
 }
 
+/// Guards against VMs that wait for a verdict on paths although no other VM could serve
+/// their clients either.
+#[test]
+fn a_vm_is_ready_at_once_while_no_backend_server_exists() {
+    let mut sim = Simulation::start(&["a"]);
+    sim.configure(1, &[("web", 1)]);
+    sim.run(Millis(200));
+    assert!(sim.vm(0).is_ready());
+}
+
 /// Guards against a distance of data centres that the clients' distance hides.
 #[test]
 fn extra_delay_is_the_difference_to_the_local_data_centre() {
