--- a/src/core/steering/readiness.rs
+++ b/src/core/steering/readiness.rs
@@ -16,7 +16,7 @@
 const UNREADY_AFTER: Millis = Millis(300);
 
 /// Time within which a VM of the same data centre answers the first heartbeat.
-const PEER_ANSWER_TIME: Millis = Millis(500);
+const PEER_ANSWER_TIME: Millis = Millis(75);
 
 /// Time that the routers may take to notice that a VM is not ready.
 pub const ROUTER_NOTICE_TIME: Millis = Millis(1_500);
