Choose the interval of local heartbeats where intervals are chosen

Cause, found in the reading of the change: the 100 ms within a small data centre bypassed the intervals for peers that do not answer, and is_live_in repeated what Members::is_local knows. heartbeat_interval takes the usual interval now, and both use KnownPeer::is_in. Result: tests of placing and membership pass; no decision changes for a peer that answers.

--- a/src/core/steering/known_peer.rs
+++ b/src/core/steering/known_peer.rs
@@ -13,9 +13,8 @@
 /// Interval between two heartbeats.
 pub const HEARTBEAT_INTERVAL: Millis = Millis(250);
 
-/// Interval between two heartbeats to a live VM of the same data centre in a full
-/// mesh. The two prefer the same backend servers, whose load changes within the time
-/// of a request.
+/// Interval between two heartbeats of VMs of the same data centre in a full mesh. They
+/// prefer the same backend servers, whose load changes within the time of a request.
 pub(super) const LOCAL_HEARTBEAT_INTERVAL: Millis = Millis(100);
 
 /// Interval between the first two heartbeats to a seed that was never heard. It
@@ -76,10 +75,10 @@
         now.since(self.heard) < LOST_AFTER
     }
 
-    /// Returns whether it is live and in the given data centre.
-    pub(super) fn is_live_in(&self, data_centre: &DataCentreId, now: Time) -> bool {
+    /// Returns whether it is in the given data centre, as far as known.
+    pub(super) fn is_in(&self, data_centre: &DataCentreId) -> bool {
         let contact = self.contact.as_ref();
-        self.is_live(now) && contact.is_some_and(|c| c.data_centre == *data_centre)
+        contact.is_some_and(|c| c.data_centre == *data_centre)
     }
 
     /// Returns whether it gets heartbeats without being a hub.
@@ -88,7 +87,8 @@
         self.contact.is_none() || (self.is_start_peer && may_start)
     }
 
-    pub(super) fn heartbeat_interval(&self, now: Time) -> Millis {
+    /// Returns the time to the next heartbeat: `usual`, unless it does not answer.
+    pub(super) fn heartbeat_interval(&self, usual: Millis, now: Time) -> Millis {
         let is_seed = self.contact.is_none() || self.is_start_peer;
         if is_seed && self.unanswered < FIRST_RETRIES {
             return Millis(FIRST_RETRY_INTERVAL.0 << self.unanswered);
@@ -97,7 +97,7 @@
         if self.silent_since.is_some_and(is_silent) {
             return SILENT_INTERVAL;
         }
-        HEARTBEAT_INTERVAL
+        usual
     }
 
     /// Returns whether it is not in the avoidance period after failing to
--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -168,8 +168,8 @@
 
     /// Returns whether a peer is in this data centre.
     pub fn is_local(&self, address: SocketAddrV4) -> bool {
-        let contact = self.known.get(&address).and_then(|k| k.contact.as_ref());
-        contact.is_some_and(|c| c.data_centre == self.me.data_centre)
+        let known = self.known.get(&address);
+        known.is_some_and(|k| k.is_in(&self.me.data_centre))
     }
 
     /// Returns a random sample of contacts of live peers.
@@ -249,12 +249,11 @@
             if now < known.next || !(is_neighbour || known.wants_heartbeats) {
                 continue;
             }
-            let shares_backends = is_full_mesh && known.is_live_in(&self.me.data_centre, now);
-            let interval = match shares_backends {
+            let usual = match is_full_mesh && known.is_in(&self.me.data_centre) {
                 true => LOCAL_HEARTBEAT_INTERVAL,
-                false => known.heartbeat_interval(now),
+                false => HEARTBEAT_INTERVAL,
             };
-            known.next = now + interval;
+            known.next = now + known.heartbeat_interval(usual, now);
             known.unanswered = known.unanswered.saturating_add(1);
             if is_neighbour && now.since(known.heard) >= HEARTBEAT_INTERVAL {
                 known.silent_since.get_or_insert(now);
