Answer the first heartbeat of a restarted peer at once

Cause: a VM that restarted within 0.8 s was still taken for the run that its peers had heard, so they answered only with their next heartbeat, up to 250 ms later. A hub that restarted in a cut data centre reported ready at 60 ms, before any peer had told it. Change: a heartbeat of another incarnation counts as the first one of a new peer.

--- a/src/core/steering/members.rs
+++ b/src/core/steering/members.rs
@@ -212,13 +212,15 @@
         self.neighbours.contains(&address)
     }
 
-    /// Records a heartbeat. Returns the previous one unless the peer was lost.
+    /// Records a heartbeat. Returns the previous one unless the peer was lost or has
+    /// restarted since.
     pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Time) -> Option<Heartbeat> {
         let address = heartbeat.address;
         if address == self.me.address {
             return None;
         }
         let contact = heartbeat.contact();
+        let incarnation = heartbeat.incarnation;
         self.add(address, Some(&contact), now);
         if let Some(known) = self.known.get_mut(&address) {
             known.contact = Some(contact);
@@ -233,8 +235,20 @@
             heartbeat,
             heard: now,
         };
-        let before = self.heard.insert(address, member)?;
-        (now.since(before.heard) < LOST_AFTER).then_some(before.heartbeat)
+        let before = self.heard.insert(address, member);
+        let before = before.filter(|m| now.since(m.heard) < LOST_AFTER);
+        let before = before.filter(|m| m.heartbeat.incarnation == incarnation);
+        if before.is_none() {
+            self.answer_soon(address, now);
+        }
+        before.map(|m| m.heartbeat)
+    }
+
+    /// Makes a heartbeat to a peer due now: it has just started and waits for it.
+    fn answer_soon(&mut self, address: SocketAddrV4, now: Time) {
+        if let Some(known) = self.known.get_mut(&address) {
+            known.next = now;
+        }
     }
 
     /// Takes the addresses to which a heartbeat is due.
