review: one unreadable foreign entry stops all knowledge of hosts (DRAIN)

Cause: parse_body parses a whole answer of the store as one JSON value, so an entry of another writer with a lone surrogate makes each page and watch unreadable on every VM. Change: script, stand-ins and claim under review/; no product code.

--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,104 @@
+//! The cases.
+
+use std::{
+    thread::{self, sleep},
+    time::Duration,
+};
+
+use crate::{Site, record::Opening};
+
+const HELD: i32 = 0;
+const BROKEN: i32 = 1;
+const NOT_RUN: i32 = 2;
+
+/// `drainMs` of the small sites.
+const DRAIN_MS: u64 = 3_000;
+
+pub fn play(case: &str, site: Site, has_trouble: bool) -> i32 {
+    match case {
+        "unreadable-entry" => unreadable_entry(site, has_trouble),
+        _ => NOT_RUN,
+    }
+}
+
+/// Another writer's entry holds a text that was cut in the middle of a character. Four
+/// seconds later a release begins: each host of a service is replaced by a new one.
+fn unreadable_entry(mut site: Site, has_trouble: bool) -> i32 {
+    const OLD_HOSTS: u8 = 6;
+    const FIRST_NEW: u8 = 20;
+    let record = site.record.clone();
+    if !site.await_ready(Duration::from_secs(8)) {
+        record.note("not all entry VMs became ready");
+        return NOT_RUN;
+    }
+    record.note("all entry VMs are ready; traffic starts");
+    site.start_clients(Duration::from_secs(32));
+    sleep(Duration::from_secs(5));
+    if has_trouble {
+        let spec = match std::env::var("VARIANT").as_deref() {
+            Ok("number") => r#"{"service":"inventory","concurrency":1e400,"state":"ready","sequence":1}"#,
+            _ => r#"{"service":"inventory","note":"dress \ud83d","state":"ready","sequence":1}"#,
+        };
+        site.store.put("servers", "i-00c0ffee", spec);
+        record.note(format!("another writer wrote the entry i-00c0ffee: {spec}"));
+    }
+    sleep(Duration::from_secs(4));
+    let mut drained = Vec::new();
+    let mut leaving = Vec::new();
+    for number in 0..OLD_HOSTS {
+        let new = site.start_host(FIRST_NEW + number);
+        let old = site.hosts[usize::from(number)].clone();
+        sleep(Duration::from_millis(1_000));
+        old.drain(&site.store);
+        let acknowledged = record.now_ms();
+        record.note(format!("new host {}; the store acknowledged that {} is draining", new.id, old.id));
+        drained.push((old.id.clone(), acknowledged));
+        site.hosts.push(new);
+        let (store, record) = (site.store.clone(), record.clone());
+        leaving.push(thread::spawn(move || {
+            sleep(Duration::from_millis(DRAIN_MS + 3_000));
+            old.leave(&store);
+            record.note(format!("host {} has left; its entry is removed", old.id));
+        }));
+    }
+    for thread in leaving {
+        let _ = thread.join();
+    }
+    let released = record.now_ms();
+    site.await_clients();
+
+    let late = late_openings(&site, &drained);
+    let requests = record.requests();
+    let cut_off = requests.iter().filter(|r| r.runs > 0 && r.answered_by.is_none()).count();
+    let after: Vec<_> = requests.iter().filter(|r| r.sent_ms > released).collect();
+    let unanswered = after.iter().filter(|r| r.answered_by.is_none()).count();
+    record.note(format!("DRAIN: {late} flows opened at a host later than {DRAIN_MS} ms after it was acknowledged as draining"));
+    record.note(format!("{cut_off} requests were run and got no answer"));
+    record.note(format!("{unanswered} of {} requests sent after the release got no answer", after.len()));
+    finish(&mut site, late > 0)
+}
+
+/// Counts the flows that opened at a draining host too late. Their opening packets were
+/// sent after the bound, too.
+fn late_openings(site: &Site, drained: &[(String, u64)]) -> usize {
+    let openings = site.record.openings();
+    let is_late = |o: &&Opening| {
+        drained.iter().any(|(id, at)| {
+            *id == o.host && o.sent_ms > at + DRAIN_MS && o.at_ms > at + DRAIN_MS
+        })
+    };
+    let late = openings.iter().filter(is_late);
+    late.filter(|o| site.record.opened_at(o.flow).as_deref() == Some(&o.host)).count()
+}
+
+fn finish(site: &mut Site, is_broken: bool) -> i32 {
+    if !site.all_running() {
+        site.record.note("an entry VM has ended by itself");
+    }
+    if site.record.problems() > 0 {
+        site.record.note(format!("{} other problems, see PROBLEM above", site.record.problems()));
+    }
+    let verdict = if is_broken { "the rule was broken" } else { "the rule held" };
+    site.record.note(verdict);
+    if is_broken { BROKEN } else { HELD }
+}
