--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -17,11 +17,71 @@
 pub fn play(case: &str, site: Site, has_trouble: bool) -> i32 {
     match case {
         "unreadable-entry" => unreadable_entry(site, has_trouble),
+        "unreadable-entry-restart" => unreadable_entry_restart(site, has_trouble),
         "overwritten-entry" => overwritten_entry(site, has_trouble),
         _ => NOT_RUN,
     }
 }
 
+/// The final fault while the store holds an entry of another writer that cannot be read:
+/// right after a configuration was acknowledged, all entry VMs are killed. They start
+/// again a second later.
+fn unreadable_entry_restart(mut site: Site, has_trouble: bool) -> i32 {
+    /// `recoveryS` of the small sites.
+    const RECOVERY: Duration = Duration::from_secs(12);
+    /// How long requests are counted after that.
+    const COUNTED: Duration = Duration::from_secs(15);
+    let record = site.record.clone();
+    if !site.await_ready(Duration::from_secs(8)) {
+        record.note("not all entry VMs became ready");
+        return NOT_RUN;
+    }
+    record.note("all entry VMs are ready; traffic starts");
+    site.start_clients(Duration::from_secs(9) + RECOVERY + COUNTED);
+    sleep(Duration::from_secs(4));
+    if has_trouble {
+        let spec = r#"{"service":"inventory","note":"dress \ud83d","state":"ready","sequence":1}"#;
+        site.store.put("servers", "i-00c0ffee", spec);
+        record.note(format!("another writer wrote the entry i-00c0ffee: {spec}"));
+    }
+    sleep(Duration::from_secs(4));
+    let route = *site.route().ip();
+    site.store
+        .put("config", "main", &crate::configuration(8, route, true));
+    site.vms.iter_mut().for_each(|vm| vm.kill());
+    let killed = record.now_ms();
+    record.note("configuration 8 was acknowledged; all entry VMs were killed");
+    sleep(Duration::from_secs(1));
+    site.vms.iter_mut().for_each(|vm| vm.start_again());
+    let back = record.now_ms();
+    record.note("all entry VMs have started again");
+    site.await_clients();
+
+    let requests = record.requests();
+    let share = |from: u64, to: u64| {
+        let sent: Vec<_> = requests
+            .iter()
+            .filter(|r| (from..to).contains(&r.sent_ms))
+            .collect();
+        let served = sent.iter().filter(|r| r.answered_by.is_some()).count();
+        (served, sent.len())
+    };
+    let (served_before, sent_before) = share(0, killed.saturating_sub(1_000));
+    let (served, sent) = share(back + RECOVERY.as_millis() as u64, u64::MAX);
+    record.note(format!(
+        "before the kill {served_before} of {sent_before} requests were served"
+    ));
+    record.note(format!("RECOVER: of the requests sent later than 12 s after the return {served} of {sent} were served"));
+    record.note(format!(
+        "{} of 6 entry VMs are in rotation",
+        site.routers.in_rotation()
+    ));
+    if 4 * served_before < sent_before || sent == 0 {
+        return NOT_RUN;
+    }
+    finish(&mut site, 4 * served < sent)
+}
+
 /// Another writer replaces the entry of a host by one with a service that no
 /// configuration names. The host lives and writes its own entry again with its next
 /// heartbeat. Clients hold flows open and send requests on them.
--- a/review/standin/vms.rs
+++ b/review/standin/vms.rs
@@ -71,10 +71,13 @@
         SocketAddrV4::new(self.ip, READY)
     }
 
-    /// Kills the process (SIGKILL) and starts it again.
-    pub fn restart(&mut self) {
+    /// Kills the process (SIGKILL).
+    pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+    }
+
+    pub fn start_again(&mut self) {
         self.child = spawn(&self.settings, &self.log);
     }
 
