review: a restarted seed keeps the older configuration of the copy (CONFIG)

Cause: positions are compared before versions, so what the other VMs hold is taken for older than the copy.

--- a/review/stand-in-2/clients.rs
+++ b/review/stand-in-2/clients.rs
@@ -48,6 +48,9 @@
 #[derive(Clone, Debug)]
 pub struct FlowRecord {
     pub client: SocketAddrV4,
+    pub service: SocketAddrV4,
+    /// When the last copy of the opening packet was sent, and through which VM.
+    pub sent: Option<(u64, String)>,
     /// When the client had the handshake's answer.
     pub opened: Option<u64>,
     /// The server that answered last.
@@ -97,7 +100,7 @@
     records: Arc<Mutex<Vec<FlowRecord>>>,
     sockets: Vec<(String, SocketAddrV4, UdpSocket)>,
     flows: HashMap<FlowId, Flow>,
-    service: SocketAddrV4,
+    services: Vec<SocketAddrV4>,
     next_port: u16,
     next_request: u64,
 }
@@ -109,7 +112,7 @@
         record: &Record,
         router: &Router,
         zones: &[ZoneClients],
-        service: SocketAddrV4,
+        services: &[SocketAddrV4],
         per_s: u64,
         long_flows: usize,
     ) -> Clients {
@@ -131,7 +134,7 @@
             records: Arc::clone(&clients.flows),
             sockets,
             flows: HashMap::new(),
-            service,
+            services: services.to_vec(),
             next_port: 2_000,
             next_request: 0,
         };
@@ -164,10 +167,19 @@
 impl Engine {
     fn new_request(&mut self, socket: usize, is_long: bool) {
         self.next_request += 1;
-        self.open(self.next_request, 1, socket, is_long);
+        let turn = self.next_request as usize / self.sockets.len();
+        let service = self.services[turn % self.services.len()];
+        self.open(self.next_request, 1, socket, service, is_long);
     }
 
-    fn open(&mut self, request: u64, tries: u32, socket: usize, is_long: bool) {
+    fn open(
+        &mut self,
+        request: u64,
+        tries: u32,
+        socket: usize,
+        service: SocketAddrV4,
+        is_long: bool,
+    ) {
         self.next_port = if self.next_port >= 60_000 {
             2_000
         } else {
@@ -179,6 +191,8 @@
             let mut records = self.records.lock().unwrap();
             records.push(FlowRecord {
                 client,
+                service,
+                sent: None,
                 opened: None,
                 host: None,
                 outcome: None,
@@ -204,7 +218,7 @@
             resend_after: 0,
             next_request_at: 0,
         };
-        self.flows.insert((client, self.service), flow);
+        self.flows.insert((client, service), flow);
     }
 
     fn step(&mut self, now: u64, is_running: bool) {
@@ -263,6 +277,7 @@
                 "request {}: opening packet {copy} of {} through {vm}",
                 flow.request, id.0
             ));
+            self.records.lock().unwrap()[flow.number].sent = Some((now, vm));
             self.flows.get_mut(&id).unwrap().copies += 1;
         } else if now >= flow.first_sent + OPEN_TIMEOUT_MS {
             self.end(id, Outcome::NotOpened, now);
@@ -373,7 +388,13 @@
         if flow.is_long && (outcome == Outcome::Served || flow.tries >= TRIES) {
             self.new_request(flow.socket, true);
         } else if outcome != Outcome::Served && flow.tries < TRIES {
-            self.open(flow.request, flow.tries + 1, flow.socket, flow.is_long);
+            self.open(
+                flow.request,
+                flow.tries + 1,
+                flow.socket,
+                id.1,
+                flow.is_long,
+            );
         }
     }
 }
--- a/review/stand-in-2/deployment.rs
+++ b/review/stand-in-2/deployment.rs
@@ -31,7 +31,8 @@
     pub store: Store,
     pub hosts: Hosts,
     pub router: Router,
-    service: SocketAddrV4,
+    /// Addresses of the routes: the second one is used by some cases only.
+    pub services: [SocketAddrV4; 2],
     zone_clients: Vec<ZoneClients>,
     dir: PathBuf,
 }
@@ -97,7 +98,7 @@
         let store_address = SocketAddrV4::new(loopback(net, 0, 1), ports.store);
         let expiry = Duration::from_millis(3 * HEARTBEAT_MS);
         let store = Store::spawn(SocketAddr::V4(store_address), expiry);
-        let service = SocketAddrV4::new(loopback(net, 200, 1), 8_443);
+        let services = [1, 2].map(|n| SocketAddrV4::new(loopback(net, 200, n), 8_443));
         let hosts = Hosts::spawn(record, &store, ports.packets);
         for (zone, index) in ZONES.iter().zip(1..) {
             for n in 0..HOSTS_PER_ZONE {
@@ -106,7 +107,7 @@
                 hosts.start(&name, zone, "web", address);
             }
         }
-        store.put("config", "main", &configuration(service));
+        store.put("config", "main", &configuration(7, &services));
         std::thread::sleep(Duration::from_millis(300));
 
         let vm_ip = |zone: u8, n: u8| loopback(net, zone, 10 + n);
@@ -158,7 +159,7 @@
             record: record.clone(),
             store,
             hosts,
-            service,
+            services,
             zone_clients: zone_clients.collect(),
             router,
             dir,
@@ -171,13 +172,13 @@
     }
 
     /// Starts the clients. Each address keeps `long_flows` flows open besides.
-    pub fn start_traffic(&self, long_flows: usize) -> Clients {
+    pub fn start_traffic(&self, services: &[SocketAddrV4], long_flows: usize) -> Clients {
         let (zones, per_s) = (&self.zone_clients, REQUESTS_PER_S);
         Clients::spawn(
             &self.record,
             &self.router,
             zones,
-            self.service,
+            services,
             per_s,
             long_flows,
         )
@@ -195,10 +196,19 @@
     }
 }
 
-fn configuration(service: SocketAddrV4) -> String {
+/// Returns a configuration with one route for each address, all to the same service.
+pub fn configuration(version: u64, routes: &[SocketAddrV4]) -> String {
+    let route = |address: &SocketAddrV4| {
+        format!(
+            "{{\"name\":\"r-{}\",\"host\":\"{}\",\"pathPrefix\":\"/{}/\",\"type\":\"safe\",\"timeoutMs\":4000,\"targetLatencyMs\":250,\"priority\":2,\"service\":\"web\",\"maxAttempts\":2}}",
+            address.ip().octets()[3],
+            address.ip(),
+            address.port()
+        )
+    };
+    let routes: Vec<String> = routes.iter().map(route).collect();
     format!(
-        "{{\"version\":7,\"routes\":[{{\"name\":\"r\",\"host\":\"{}\",\"pathPrefix\":\"/{}/\",\"type\":\"safe\",\"timeoutMs\":4000,\"targetLatencyMs\":250,\"priority\":2,\"service\":\"web\",\"maxAttempts\":2}}],\"services\":[{{\"name\":\"web\",\"healthPath\":\"/health\",\"maxFlows\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":2.0,\"warmupPerS\":0.0}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
-        service.ip(),
-        service.port()
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"web\",\"healthPath\":\"/health\",\"maxFlows\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":2.0,\"warmupPerS\":0.0}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
+        routes.join(",")
     )
 }
--- a/review/stand-in-2/evacuated_again.rs
+++ b/review/stand-in-2/evacuated_again.rs
@@ -18,7 +18,7 @@
 
 pub fn run(deployment: &Deployment, has_trouble: bool) -> Verdict {
     let (record, store) = (&deployment.record, &deployment.store);
-    let clients = deployment.start_traffic(0);
+    let clients = deployment.start_traffic(&deployment.services[..1], 0);
     pause(5.0);
     let copy = store.copy();
     record.say(&format!(
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -10,6 +10,7 @@
 mod hosts;
 mod packet;
 mod record;
+mod restarted_vm;
 mod returned_host;
 mod router;
 mod store;
@@ -29,6 +30,11 @@
         eprintln!("usage: stand-in CASE RECORD");
         exit(2);
     };
+    std::panic::set_hook(Box::new(|info| {
+        eprintln!("{info}");
+        router::end_running();
+        exit(2);
+    }));
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = record::Record::open();
     record.say(&format!("case {case}, disruption: {has_trouble}"));
@@ -36,6 +42,7 @@
         Ok(mut deployment) => {
             let verdict = match case.as_str() {
                 "evacuated-again" => evacuated_again::run(&deployment, has_trouble),
+                "restarted-vm" => restarted_vm::run(&deployment, has_trouble),
                 "returned-host" => returned_host::run(&deployment, has_trouble),
                 _ => Verdict::NotRun(format!("no case {case}")),
             };
--- a/review/stand-in-2/returned_host.rs
+++ b/review/stand-in-2/returned_host.rs
@@ -22,7 +22,7 @@
 
 pub fn run(deployment: &Deployment, has_trouble: bool) -> Verdict {
     let (record, store) = (&deployment.record, &deployment.store);
-    let clients = deployment.start_traffic(LONG_FLOWS);
+    let clients = deployment.start_traffic(&deployment.services[..1], LONG_FLOWS);
     pause(5.0);
     if has_trouble {
         let copy = store.copy();
--- a/review/stand-in-2/router.rs
+++ b/review/stand-in-2/router.rs
@@ -28,6 +28,23 @@
     pub log: PathBuf,
 }
 
+/// Ids of the processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes after a panic of the stand-in.
+pub fn end_running() {
+    let ids = RUNNING.lock().map(|r| r.clone()).unwrap_or_default();
+    for id in ids {
+        let _ = Command::new("/bin/sh")
+            .args(["-c", &format!("kill -KILL {id}")])
+            .status();
+    }
+}
+
+fn forget(id: u32) {
+    RUNNING.lock().unwrap().retain(|r| *r != id);
+}
+
 struct Vm {
     addresses: VmAddresses,
     process: Option<Child>,
@@ -85,6 +102,7 @@
             .stderr(log)
             .spawn()
             .expect("start a VM");
+        RUNNING.lock().unwrap().push(process.id());
         vm.process = Some(process);
         self.record.say(&format!("{} starts", vm.addresses.name));
     }
@@ -95,6 +113,7 @@
         if let Some(mut process) = process {
             let _ = process.kill();
             let _ = process.wait();
+            forget(process.id());
         }
     }
 
@@ -111,6 +130,7 @@
         }
         let _ = process.kill();
         let _ = process.wait();
+        forget(process.id());
     }
 
     pub fn count(&self) -> usize {
