review: stand-ins inside case 6

Cause: review/ holds the folders of the cases alone. Change: the folder of the stand-ins is moved; the sources are the same.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/stand-in review/stand-in-2/main.rs
+rustc --edition 2024 -O -o target/review-2/stand-in review/6/stand-in/main.rs
