Log when an evacuation begins, ends or is doubted at a VM

Nothing that a VM wrote told whether the evacuation had not reached it (reading, relaying between VMs) or had been read and not followed. Events 7026 to 7028 tell that, with the position of the evacuation; the events are counted by data centre.

--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -104,4 +104,7 @@
     7022 PathLost Warn "Handshakes with backend servers of a data centre are not answered; new flows go to other data centres.";
     7023 PathRestored Info "The path to a data centre works again.";
     7025 ResponsesTooFast Info "A backend server responds far faster than it can work; new flows go to other backend servers.";
+    7026 EvacuationBegun Info "A data centre is evacuated; it gets no new flows.";
+    7027 EvacuationEnded Info "A data centre is no longer evacuated.";
+    7028 EvacuationDoubted Warn "A restored store lists an evacuation that had ended; operators have a moment to remove it again.";
 }
--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -6,6 +6,10 @@
 
 use super::{
     directory::Fitness,
+    evacuations::{
+        EvacuationChange,
+        EvacuationStep, //
+    },
     evidence::Evidence,
     packet::{
         DropReason,
@@ -148,6 +152,8 @@
         /// Number of backend servers.
         backends: usize,
     },
+    /// The evacuation of a data centre began, ended or is in doubt.
+    Evacuation(EvacuationChange),
     /// This VM became ready for new flows, or is no longer ready.
     Readiness {
         /// Whether it is ready.
@@ -213,6 +219,11 @@
             Decision::StoreRestored { .. } => Notice::StoreRestored,
             Decision::ConfigurationHeldBack { .. } => Notice::ConfigurationHeldBack,
             Decision::BackendsDoubted { .. } => Notice::BackendsDoubted,
+            Decision::Evacuation(change) => match change.step {
+                EvacuationStep::Begun => Notice::EvacuationBegun,
+                EvacuationStep::Ended => Notice::EvacuationEnded,
+                EvacuationStep::Doubted => Notice::EvacuationDoubted,
+            },
             Decision::Readiness { is_ready: true, .. } => Notice::Ready,
             Decision::Readiness { .. } => Notice::NotReady,
             Decision::TakenOver { .. } => Notice::DataCentreTakenOver,
--- a/src/core/steering/evacuations.rs
+++ b/src/core/steering/evacuations.rs
@@ -39,6 +39,30 @@
     ///
     /// Invariant: none is in `evacuated`.
     doubted: HashMap<DataCentreId, (Position, Time)>,
+    /// Changes since the last call of [`Evacuations::take_changes`].
+    changes: Vec<EvacuationChange>,
+}
+
+/// What happened to the evacuation of a data centre at this VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EvacuationStep {
+    /// It is in force.
+    Begun,
+    /// It is no longer in force.
+    Ended,
+    /// It had ended, and a restored store lists it again.
+    Doubted,
+}
+
+/// A change of an evacuation at this VM.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EvacuationChange {
+    /// Evacuated data centre.
+    pub data_centre: DataCentreId,
+    /// What happened.
+    pub step: EvacuationStep,
+    /// Position of the evacuation in the history of the store.
+    pub position: Position,
 }
 
 /// The end of an evacuation.
@@ -119,12 +143,23 @@
         let is_copy =
             |ended: Position| ended.era < position.era && ended.revision == position.revision;
         if ended.is_some_and(is_copy) {
+            if !self.doubted.contains_key(&data_centre) {
+                self.record(&data_centre, EvacuationStep::Doubted, position);
+            }
             self.doubted
                 .entry(data_centre)
                 .or_insert((position, now + RESTORE_GRACE));
             return;
         }
         self.doubted.remove(&data_centre);
+        self.follow(data_centre, position);
+    }
+
+    /// Puts an evacuation in force.
+    fn follow(&mut self, data_centre: DataCentreId, position: Position) {
+        if !self.evacuated.contains_key(&data_centre) {
+            self.record(&data_centre, EvacuationStep::Begun, position);
+        }
         self.evacuated.insert(data_centre, position);
     }
 
@@ -133,6 +168,7 @@
         let Some(evacuated) = self.evacuated.remove(data_centre) else {
             return;
         };
+        self.record(data_centre, EvacuationStep::Ended, evacuated);
         let returned = Returned { at: now, evacuated };
         self.returned.insert(data_centre.clone(), returned);
     }
@@ -155,7 +191,22 @@
             .extract_if(|_, (_, until)| is_due(until))
             .map(|(data_centre, (position, _))| (data_centre, position))
             .collect();
-        self.evacuated.extend(believed);
+        for (data_centre, position) in believed {
+            self.follow(data_centre, position);
+        }
+    }
+
+    /// Takes the changes since the last call, for the log.
+    pub fn take_changes(&mut self) -> Vec<EvacuationChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn record(&mut self, data_centre: &DataCentreId, step: EvacuationStep, position: Position) {
+        self.changes.push(EvacuationChange {
+            data_centre: data_centre.clone(),
+            step,
+            position,
+        });
     }
 
     /// Returns whether a data centre is evacuated.
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -62,6 +62,7 @@
             }
         }
         self.record_doubts();
+        self.record_evacuations();
         self.sync.advance(kind, position, has_changes, as_of);
         if has_changes {
             self.assign_cold(now);
@@ -79,6 +80,13 @@
         self.update_readiness(now);
     }
 
+    /// Records what began, ended or is in doubt since the last call.
+    pub(super) fn record_evacuations(&mut self) {
+        let changes = self.directory.evacuations.take_changes();
+        self.decisions
+            .extend(changes.into_iter().map(Decision::Evacuation));
+    }
+
     fn record_doubts(&mut self) {
         let backends = self.directory.take_doubted();
         if backends > 0 {
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -276,6 +276,7 @@
     pub fn tick(&mut self, now: Time) {
         self.directory.tick(self.sync.outage_settled_at(), now);
         self.directory.evacuations.tick(now);
+        self.record_evacuations();
         self.reset_ended_backends(now);
         self.reset_unlisted(now);
         self.remove_lost_peers(now);
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -140,6 +140,10 @@
             log_decision!(decision, version, active, era, revision);
         }
         Decision::BackendsDoubted { backends } => log_decision!(decision, backends),
+        Decision::Evacuation(change) => {
+            let (era, revision) = (change.position.era.0, change.position.revision.0);
+            log_decision!(decision, data_centre = %change.data_centre, era, revision);
+        }
         Decision::Readiness { is_ready, backends } => log_decision!(decision, is_ready, backends),
         Decision::TakenOver {
             data_centre,
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -215,6 +215,7 @@
         Decision::PacketDropped { reason, .. } => reason.to_string(),
         Decision::StoreUpdateApplied { kind, source, .. } => format!("{kind} from {source}"),
         Decision::StoreAnswers { kind, .. } => kind.to_string(),
+        Decision::Evacuation(change) => change.data_centre.to_string(),
         Decision::PathLost { data_centre, .. } | Decision::PathRestored { data_centre, .. } => {
             data_centre.to_string()
         }
