Follow an evacuation whose revision a restored store assigned again

Cause: a revision was taken for the identity of an evacuation across eras. One with the revision of an evacuation that had ended in an earlier era counted as what is left of that in the copy, and was doubted for 10 s, however long ago the restore was. Ruled out: a watch or a relay that came late.

The copy holds nothing above it, so a change above it is new and is followed at once, whichever way it comes. What may be of the copy is doubted for 3 s since the VM learned of the restore, not 10 s since it read the object. That also covers a write that changes nothing (the operator evacuates again what the copy still lists), for which no event comes. No message between VMs has changed, so builds can run side by side as before.

--- a/src/core/steering/evacuations.rs
+++ b/src/core/steering/evacuations.rs
@@ -3,7 +3,10 @@
 use hashbrown::HashMap;
 
 use super::{
-    position::RESTORE_GRACE,
+    position::{
+        EraView,
+        RESTORE_GRACE, //
+    },
     store::{
         Change,
         Object,
@@ -24,6 +27,12 @@
 /// end of the evacuation.
 const RETURN_COLD_TIME: Millis = Millis(2_500);
 
+/// Time that operators have after a restore to remove an evacuation again that had
+/// ended. They may also have written it again, which changes nothing in the store
+/// and must be followed all the same: the time is shorter than that within which an
+/// evacuation has to take effect.
+const DOUBT_TIME: Millis = Millis::from_secs(3);
+
 /// Evacuated data centres and those that recently returned.
 #[derive(Debug, Default)]
 pub struct Evacuations {
@@ -75,7 +84,7 @@
 
 impl Evacuations {
     /// Replaces the evacuated data centres with the full list as of `position`.
-    pub fn replace(&mut self, objects: &[Object], position: Position, now: Time) {
+    pub fn replace(&mut self, objects: &[Object], position: Position, era: EraView, now: Time) {
         let listed: HashMap<DataCentreId, Position> = objects
             .iter()
             .filter_map(|o| Some((evacuated_data_centre(o)?, o.position)))
@@ -109,17 +118,17 @@
                     .entry(data_centre.clone())
                     .or_insert(now + RESTORE_GRACE);
             }
-            self.begin_evacuation(data_centre, at, now);
+            self.begin_evacuation(data_centre, at, era, now);
         }
     }
 
     /// Applies one change that the store made.
-    pub fn change(&mut self, change: &Change, now: Time) {
+    pub fn change(&mut self, change: &Change, era: EraView, now: Time) {
         let data_centre = DataCentreId::new(&change.object.name);
         let position = change.object.position;
         if !change.removed {
             self.not_restored.remove(&data_centre);
-            self.begin_evacuation(data_centre, position, now);
+            self.begin_evacuation(data_centre, position, era, now);
             return;
         }
         self.doubted.remove(&data_centre);
@@ -129,30 +138,43 @@
         }
     }
 
-    fn begin_evacuation(&mut self, data_centre: DataCentreId, position: Position, now: Time) {
-        if self
-            .evacuated
-            .get(&data_centre)
-            .is_some_and(|k| *k >= position)
-        {
+    fn begin_evacuation(
+        &mut self,
+        data_centre: DataCentreId,
+        position: Position,
+        era: EraView,
+        now: Time,
+    ) {
+        let known = self.evacuated.get(&data_centre);
+        if known.is_some_and(|k| *k >= position) {
             return;
         }
-        let ended = self.returned.get(&data_centre).map(|r| r.evacuated);
-        // An object keeps its revision in a copy; one that is written again has
-        // another.
-        let is_copy =
-            |ended: Position| ended.era < position.era && ended.revision == position.revision;
-        if ended.is_some_and(is_copy) {
-            if !self.doubted.contains_key(&data_centre) {
-                self.record(&data_centre, EvacuationStep::Doubted, position);
-            }
-            self.doubted
-                .entry(data_centre)
-                .or_insert((position, now + RESTORE_GRACE));
+        let doubted_until = era.learned_at + DOUBT_TIME;
+        let is_doubted = now < doubted_until
+            && known.is_none()
+            && self.may_have_ended(&data_centre, position, era);
+        if !is_doubted {
+            self.doubted.remove(&data_centre);
+            self.follow(data_centre, position);
             return;
         }
-        self.doubted.remove(&data_centre);
-        self.follow(data_centre, position);
+        if !self.doubted.contains_key(&data_centre) {
+            self.record(&data_centre, EvacuationStep::Doubted, position);
+        }
+        self.doubted.insert(data_centre, (position, doubted_until));
+    }
+
+    /// Returns whether an evacuation at `position` may be one that ended before the
+    /// store was restored. A copy keeps revisions, so one with another revision is
+    /// another evacuation; one with the same revision need not be the same.
+    fn may_have_ended(&self, data_centre: &DataCentreId, position: Position, era: EraView) -> bool {
+        let Some(returned) = self.returned.get(data_centre) else {
+            return false;
+        };
+        let ended = returned.evacuated;
+        ended.era < position.era
+            && ended.revision == position.revision
+            && era.may_be_copied(position)
     }
 
     /// Puts an evacuation in force.
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -99,18 +99,23 @@
         match kind {
             Kind::Configuration => objects.into_iter().for_each(|o| self.configure(o)),
             Kind::BackendServers => self.directory.replace(&objects, position, gone_at, now),
-            Kind::Evacuations => self.directory.evacuations.replace(&objects, position, now),
+            Kind::Evacuations => {
+                let era = self.sync.era_view();
+                let evacuations = &mut self.directory.evacuations;
+                evacuations.replace(&objects, position, era, now);
+            }
         }
     }
 
     fn apply_changes(&mut self, kind: Kind, changes: Vec<Change>, now: Time) {
         let gone_at = self.sync.outage_settled_at();
+        let era = self.sync.era_view();
         for change in changes {
             match kind {
                 Kind::Configuration if change.removed => {}
                 Kind::Configuration => self.configure(change.object),
                 Kind::BackendServers => self.directory.change(&change, gone_at, now),
-                Kind::Evacuations => self.directory.evacuations.change(&change, now),
+                Kind::Evacuations => self.directory.evacuations.change(&change, era, now),
             }
         }
     }
@@ -226,14 +231,18 @@
         }
     }
 
-    fn observe_peer_era(&mut self, reports: &[KindReport], now: Time) {
+    /// Learns the era of the store from what another VM reports.
+    pub(super) fn observe_peer_era(&mut self, reports: &[KindReport], now: Time) {
         let known = reports.iter().filter(|r| r.position > Position::NONE);
-        let Some(era) = known.map(|r| r.position.era).max() else {
+        let Some(era) = known.clone().map(|r| r.position.era).max() else {
             return;
         };
-        if let Some(before) = self.sync.observe_era(era) {
+        if let Some(before) = self.sync.observe_era(era, now) {
             self.on_restore(before, era, now);
         }
+        for report in known {
+            self.sync.observe_position(report.position);
+        }
     }
 
     /// Creates queries for kinds of which another VM knows more, except those
--- a/src/core/steering/reader_election.rs
+++ b/src/core/steering/reader_election.rs
@@ -135,7 +135,11 @@
             // noticed it.
             return StoreAnswer::Busy;
         }
-        if let Some(before) = self.sync.observe_era(era) {
+        let restored_since = self.sync.observe_era(era, now);
+        if let Some(position) = answer.position() {
+            self.sync.observe_position(position);
+        }
+        if let Some(before) = restored_since {
             self.on_restore(before, era, now);
             return StoreAnswer::HistoryGone;
         }
--- a/src/core/steering/snapshots.rs
+++ b/src/core/steering/snapshots.rs
@@ -17,6 +17,7 @@
     peers::{
         Heartbeat,
         KindQuery,
+        KindReport,
         Referral,
         Snapshot,
         SnapshotAnswer,
@@ -181,6 +182,8 @@
         for contact in &snapshot.contacts {
             self.peers.add_contact(contact, now);
         }
+        let reports: SmallVec<[KindReport; 3]> = snapshot.parts.iter().map(|p| p.report).collect();
+        self.observe_peer_era(&reports, now);
         for part in snapshot.parts {
             self.next_request[part.kind as usize] = now;
             let (kind, report) = (part.kind, part.report);
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -259,6 +259,16 @@
 }
 
 impl StoreAnswer {
+    /// Returns the position of the store, if the answer gives it.
+    pub fn position(&self) -> Option<Position> {
+        match self {
+            StoreAnswer::Page { position, .. } | StoreAnswer::Changes { position, .. } => {
+                Some(*position)
+            }
+            _ => None,
+        }
+    }
+
     /// Returns whether the store answered, rather than being unavailable.
     pub fn is_answered(&self) -> bool {
         !matches!(self, StoreAnswer::Busy | StoreAnswer::NoAnswer)
--- a/src/core/steering/sync_state.rs
+++ b/src/core/steering/sync_state.rs
@@ -3,6 +3,7 @@
 use super::{
     directory::REREGISTER_TIME,
     peers::KindReport,
+    position::EraView,
     store::{
         Era,
         Kind,
@@ -32,7 +33,7 @@
     known: [KindState; Kind::ALL.len()],
     /// Newest era of the store that this VM or another one has seen. `None`
     /// before the first answer.
-    era: Option<Era>,
+    era: Option<EraView>,
     /// When the store last failed to answer any VM, as far as known.
     last_outage: Option<Time>,
 }
@@ -40,17 +41,32 @@
 impl SyncState {
     /// Returns the newest era seen.
     pub fn era(&self) -> Option<Era> {
-        self.era
+        self.era.map(|view| view.era)
+    }
+
+    /// Returns what is known of the newest era seen.
+    pub fn era_view(&self) -> EraView {
+        self.era.unwrap_or_default()
     }
 
     /// Records that `era` was seen. Returns the era before if the store was
     /// restored since.
-    pub fn observe_era(&mut self, era: Era) -> Option<Era> {
-        let before = self.era;
-        self.era = before.max(Some(era));
+    pub fn observe_era(&mut self, era: Era, now: Time) -> Option<Era> {
+        let before = self.era();
+        if before.is_none_or(|b| b < era) {
+            self.era = Some(EraView::begin(era, now));
+        }
         before.filter(|b| *b < era)
     }
 
+    /// Records that the store was at `position`, as far as that tells when the
+    /// newest era began.
+    pub fn observe_position(&mut self, position: Position) {
+        if let Some(view) = &mut self.era {
+            view.observe(position);
+        }
+    }
+
     /// Returns the state of a kind.
     pub fn get(&self, kind: Kind) -> &KindState {
         &self.known[kind as usize]
--- a/testkit/src/steering/restores.rs
+++ b/testkit/src/steering/restores.rs
@@ -1,9 +1,16 @@
 //! A small deployment for tests of a store that is restored from a copy.
 
 use dragonflytrack::{
-    core::steering::{
-        store::BackendServer,
-        tag::Tag, //
+    core::{
+        names::DataCentreId,
+        steering::{
+            store::{
+                BackendServer,
+                Kind,
+                Value, //
+            },
+            tag::Tag, //
+        },
     },
     kernel::clock::Millis,
 };
@@ -68,3 +75,34 @@
 pub fn is_used(sim: &mut Simulation, tag: Tag) -> bool {
     (0..DATA_CENTRES.len()).any(|vm| used(sim, vm, 1_000).contains(&tag))
 }
+
+/// Writes the evacuation of a data centre.
+pub fn evacuate(sim: &mut Simulation, data_centre: &str) {
+    let value = Value::Evacuation(DataCentreId::new(data_centre));
+    sim.store.put(Kind::Evacuations, data_centre, Some(value));
+}
+
+/// Removes the evacuation of a data centre.
+pub fn end_evacuation(sim: &mut Simulation, data_centre: &str) {
+    sim.store.remove(Kind::Evacuations, data_centre);
+}
+
+/// Returns the VMs whose new flows go to backend servers of a data centre.
+pub fn senders_to(sim: &mut Simulation, data_centre: &str) -> Vec<usize> {
+    /// Ports of one call, so that no flow is opened twice.
+    const PORTS: u64 = 100;
+    const CALLS: u64 = 500;
+    let data_centre = DataCentreId::new(data_centre);
+    let servers = (1..=BACKENDS).map(server);
+    let tags: Vec<Tag> = servers
+        .filter(|s| s.data_centre == data_centre)
+        .map(|s| Tag::of(s.key))
+        .collect();
+    let first_port = 10_000 + sim.now.0 / 5 % CALLS * PORTS;
+    (0..DATA_CENTRES.len())
+        .filter(|vm| {
+            let used = used(sim, *vm, first_port as u16);
+            used.iter().any(|tag| tags.contains(tag))
+        })
+        .collect()
+}
--- a/testkit/src/steering/store.rs
+++ b/testkit/src/steering/store.rs
@@ -81,8 +81,19 @@
         since.revision.0 > self.content.revision
     }
 
-    /// Writes an object and returns its revision.
+    /// Returns whether the store lists an object.
+    pub fn lists(&self, kind: Kind, name: &str) -> bool {
+        let key = (kind, name.to_owned());
+        self.content.objects.contains_key(&key)
+    }
+
+    /// Writes an object and returns its revision. A write that changes nothing keeps
+    /// the revision and makes no event.
     pub fn put(&mut self, kind: Kind, name: &str, value: Option<Value>) -> Position {
+        let known = self.content.objects.get(&(kind, name.to_owned()));
+        if let Some(known) = known.filter(|o| o.value == value) {
+            return known.position;
+        }
         self.content.revision += 1;
         let object = Object {
             name: name.to_owned(),
--- a/tests/steering_restores.rs
+++ b/tests/steering_restores.rs
@@ -11,11 +11,7 @@
                 Verdict, //
             },
             position::RESTORE_GRACE,
-            store::{
-                BackendServer,
-                Kind,
-                Value, //
-            },
+            store::BackendServer,
             tag::Tag,
         },
     },
@@ -30,6 +26,8 @@
         BOUND,
         DATA_CENTRES,
         draining,
+        end_evacuation,
+        evacuate,
         is_used,
         server,
         start_sim,
@@ -175,11 +173,6 @@
     assert!(sim.resets.is_empty());
 }
 
-fn evacuate(sim: &mut Simulation, data_centre: &str) {
-    let value = Value::Evacuation(DataCentreId::new(data_centre));
-    sim.store.put(Kind::Evacuations, data_centre, Some(value));
-}
-
 /// Returns whether new flows go to backend servers of a data centre.
 fn gets_flows(sim: &mut Simulation, data_centre: &str) -> bool {
     let servers = (1..=BACKENDS).map(server);
@@ -205,7 +198,7 @@
     evacuate(&mut sim, "b");
     sim.run(RESTORE_GRACE + BOUND);
     assert!(!gets_flows(&mut sim, "b"));
-    sim.store.remove(Kind::Evacuations, "b");
+    end_evacuation(&mut sim, "b");
     sim.run(BOUND + BOUND);
     assert!(gets_flows(&mut sim, "b"));
 }
@@ -227,7 +220,7 @@
     evacuate(&mut sim, "b");
     sim.run(BOUND);
     let copy = sim.store.copy();
-    sim.store.remove(Kind::Evacuations, "b");
+    end_evacuation(&mut sim, "b");
     sim.run(BOUND + BOUND);
     restore(&mut sim, &copy);
     sim.run(BOUND);
