Parse each object of an answer of the store by itself

Cause: the answer was parsed as one JSON value, which serde_json rejects as a whole for half a surrogate pair, a number beyond a double, more than 128 levels of nesting or a control character. The call then counted as not answered and was repeated for ever.

--- a/src/core/steering/decision.rs
+++ b/src/core/steering/decision.rs
@@ -20,6 +20,7 @@
     store::{
         Era,
         Kind,
+        Malformed,
         Position, //
     },
     tag::Tag,
@@ -152,6 +153,8 @@
         /// Number of backend servers.
         backends: usize,
     },
+    /// The store answered with something that cannot be used.
+    Malformed(Malformed),
     /// The evacuation of a data centre began, ended or is in doubt.
     Evacuation(EvacuationChange),
     /// This VM became ready for new flows, or is no longer ready.
@@ -219,6 +222,8 @@
             Decision::StoreRestored { .. } => Notice::StoreRestored,
             Decision::ConfigurationHeldBack { .. } => Notice::ConfigurationHeldBack,
             Decision::BackendsDoubted { .. } => Notice::BackendsDoubted,
+            Decision::Malformed(Malformed::Answer { .. }) => Notice::AnswerMalformed,
+            Decision::Malformed(Malformed::Object { .. }) => Notice::ObjectMalformed,
             Decision::Evacuation(change) => match change.step {
                 EvacuationStep::Begun => Notice::EvacuationBegun,
                 EvacuationStep::Ended => Notice::EvacuationEnded,
--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -105,6 +105,7 @@
 pub use stats::Stats;
 use store::{
     Kind,
+    Malformed,
     StoreAnswer,
     StoreCall, //
 };
@@ -260,6 +261,12 @@
         self.send_heartbeats(now);
     }
 
+    /// Records what answers of the store contain that cannot be used.
+    pub fn on_malformed(&mut self, malformed: Vec<Malformed>) {
+        self.decisions
+            .extend(malformed.into_iter().map(Decision::Malformed));
+    }
+
     /// Accounts for a suspension of this VM that its clock did not count.
     pub fn on_suspension(&mut self, span: Millis) {
         self.sync.add_age(span);
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -258,6 +258,27 @@
     NoAnswer,
 }
 
+/// What an answer contains that cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Malformed {
+    /// The whole answer, which counts as none.
+    Answer {
+        /// Subject of the call.
+        subject: &'static str,
+        /// Why it cannot be read.
+        error: String,
+    },
+    /// One object. The others are used.
+    Object {
+        /// Subject of the call.
+        subject: &'static str,
+        /// Name, as far as it can be read.
+        name: String,
+        /// Why it cannot be used.
+        error: String,
+    },
+}
+
 impl StoreAnswer {
     /// Returns the position of the store, if the answer gives it.
     pub fn position(&self) -> Option<Position> {
--- a/src/edge/steering/format.rs
+++ b/src/edge/steering/format.rs
@@ -13,6 +13,7 @@
     },
     store::{
         Era,
+        Malformed,
         StoreAnswer,
         StoreCall, //
     },
@@ -59,6 +60,24 @@
     pub body: Option<serde_json::Value>,
 }
 
+/// A parsed response of the store.
+#[derive(Debug)]
+pub struct ParsedAnswer {
+    /// What can be used.
+    pub answer: StoreAnswer,
+    /// What cannot, in the order of the response.
+    pub malformed: Vec<Malformed>,
+}
+
+impl From<StoreAnswer> for ParsedAnswer {
+    fn from(answer: StoreAnswer) -> ParsedAnswer {
+        ParsedAnswer {
+            answer,
+            malformed: Vec::new(),
+        }
+    }
+}
+
 /// The wire formats of a platform. Implementations only translate: they are
 /// stateless and make no steering decisions.
 pub trait PlatformFormat {
@@ -88,5 +107,5 @@
 
     /// Parses the HTTP status and body of the response to a store call. `era` is
     /// that of the response.
-    fn read_answer(&self, call: &StoreCall, status: u16, era: Era, body: &[u8]) -> StoreAnswer;
+    fn read_answer(&self, call: &StoreCall, status: u16, era: Era, body: &[u8]) -> ParsedAnswer;
 }
--- a/src/edge/steering/log.rs
+++ b/src/edge/steering/log.rs
@@ -9,7 +9,10 @@
             Level,
             Notice, //
         },
-        steering::decision::Decision, //
+        steering::{
+            decision::Decision,
+            store::Malformed, //
+        },
     },
     kernel::clock::{
         Millis,
@@ -20,6 +23,9 @@
 /// The maximum number of lines for one event in one window.
 const MAX_LINES_PER_WINDOW: u32 = 200;
 
+/// The maximum length, in characters, of a text that another program has written.
+const MAX_FOREIGN_CHARS: usize = 200;
+
 const WINDOW: Millis = Millis::from_secs(1);
 
 /// A rate-limited log of steering decisions.
@@ -79,6 +85,12 @@
     tag.map(|t| t.to_string()).unwrap_or_default()
 }
 
+/// Returns the start of a text that another program has written.
+fn shorten(text: &str) -> &str {
+    let end = text.char_indices().nth(MAX_FOREIGN_CHARS);
+    end.map_or(text, |(end, _)| &text[..end])
+}
+
 fn write_line(decision: &Decision) {
     match decision {
         Decision::FlowPlaced {
@@ -140,6 +152,18 @@
             log_decision!(decision, version, active, era, revision);
         }
         Decision::BackendsDoubted { backends } => log_decision!(decision, backends),
+        Decision::Malformed(Malformed::Answer { subject, error }) => {
+            let error = shorten(error);
+            log_decision!(decision, subject, error);
+        }
+        Decision::Malformed(Malformed::Object {
+            subject,
+            name,
+            error,
+        }) => {
+            let (name, error) = (shorten(name), shorten(error));
+            log_decision!(decision, subject, name, error);
+        }
         Decision::Evacuation(change) => {
             let (era, revision) = (change.position.era.0, change.position.revision.0);
             log_decision!(decision, data_centre = %change.data_centre, era, revision);
--- a/src/edge/steering/metrics.rs
+++ b/src/edge/steering/metrics.rs
@@ -25,6 +25,7 @@
         packet::Verdict,
         store::{
             Kind,
+            Malformed,
             StoreAnswer, //
         },
     },
@@ -215,6 +216,9 @@
         Decision::PacketDropped { reason, .. } => reason.to_string(),
         Decision::StoreUpdateApplied { kind, source, .. } => format!("{kind} from {source}"),
         Decision::StoreAnswers { kind, .. } => kind.to_string(),
+        Decision::Malformed(
+            Malformed::Answer { subject, .. } | Malformed::Object { subject, .. },
+        ) => (*subject).to_owned(),
         Decision::Evacuation(change) => change.data_centre.to_string(),
         Decision::PathLost { data_centre, .. } | Decision::PathRestored { data_centre, .. } => {
             data_centre.to_string()
--- a/src/edge/steering/store.rs
+++ b/src/edge/steering/store.rs
@@ -26,6 +26,7 @@
     entry_vm::EntryVm, //
     format::{
         Method,
+        ParsedAnswer,
         PlatformFormat,
         StoreRequest, //
     },
@@ -139,9 +140,10 @@
         return (StoreAnswer::NoAnswer, None);
     };
     let era = read_era(vm, &response.headers);
-    let answer = vm
-        .format
-        .read_answer(call, response.status, era, &response.body);
+    let ParsedAnswer { answer, malformed } =
+        vm.format
+            .read_answer(call, response.status, era, &response.body);
+    vm.steering.borrow_mut().on_malformed(malformed);
     vm.metrics.count_call(subject, &answer);
     (answer, Some(era))
 }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod flow_load;
 pub mod history;
 pub mod links;
+pub mod malformed;
 pub mod packet;
 pub mod platform;
 pub mod process;
--- a/testkit/src/process/users_platform/store.rs
+++ b/testkit/src/process/users_platform/store.rs
@@ -43,10 +43,28 @@
 #[derive(Clone, Default)]
 pub struct StoreState {
     revision: u64,
-    /// Objects by kind and name.
-    objects: BTreeMap<(String, String), Json>,
-    /// Revision, kind and event, oldest first.
-    events: Vec<(u64, String, Json)>,
+    /// JSON texts of the objects by kind and name, each as its writer gave it.
+    objects: BTreeMap<(String, String), Vec<u8>>,
+    /// Revision, kind and JSON text of each event, oldest first.
+    events: Vec<(u64, String, Vec<u8>)>,
+}
+
+/// Returns the JSON text of an object.
+fn object_text(name: &str, revision: u64, spec: &[u8]) -> Vec<u8> {
+    let meta = json!({"name": name, "revision": revision});
+    let head = format!("{{\"meta\":{meta},\"spec\":");
+    [head.as_bytes(), spec, b"}"].concat()
+}
+
+/// Returns the JSON text of an event.
+fn event_text(is_deleted: bool, object: &[u8]) -> Vec<u8> {
+    let head = format!("{{\"deleted\":{is_deleted},\"object\":");
+    [head.as_bytes(), object, b"}"].concat()
+}
+
+/// Returns the JSON text of an array.
+fn array_text(elements: &[&[u8]]) -> Vec<u8> {
+    [b"[".as_slice(), &elements.join(&b','), b"]"].concat()
 }
 
 /// A fake of the platform's object store.
@@ -107,13 +125,19 @@
 
     /// Creates or replaces an object and records the change for watches.
     pub fn put(&self, kind: &str, name: &str, spec: &Json) {
+        self.put_text(kind, name, spec.to_string().as_bytes());
+    }
+
+    /// The same with any bytes in place of the value. The store passes them on as
+    /// they are.
+    pub fn put_text(&self, kind: &str, name: &str, spec: &[u8]) {
         let mut state = lock(&self.state);
         state.revision += 1;
         let revision = state.revision;
-        let object = json!({"meta": {"name": name, "revision": revision}, "spec": spec});
+        let object = object_text(name, revision, spec);
+        let event = event_text(false, &object);
         let key = (kind.to_owned(), name.to_owned());
-        state.objects.insert(key, object.clone());
-        let event = json!({"deleted": false, "object": object});
+        state.objects.insert(key, object);
         state.events.push((revision, kind.to_owned(), event));
     }
 
@@ -123,8 +147,7 @@
         state.revision += 1;
         let revision = state.revision;
         state.objects.remove(&(kind.to_owned(), name.to_owned()));
-        let object = json!({"meta": {"name": name, "revision": revision}, "spec": {}});
-        let event = json!({"deleted": true, "object": object});
+        let event = event_text(true, &object_text(name, revision, b"{}"));
         state.events.push((revision, kind.to_owned(), event));
     }
 
@@ -143,7 +166,7 @@
                 self.era.load(Ordering::Relaxed),
                 body.len()
             );
-            let result = (&stream).write_all(format!("{head}{body}").as_bytes());
+            let result = (&stream).write_all(&[head.as_bytes(), &body].concat());
             if result.is_err() {
                 return;
             }
@@ -151,9 +174,9 @@
     }
 
     /// Returns the status code and the body for a list or watch request.
-    fn handle_request(&self, path: &str) -> (u16, String) {
+    fn handle_request(&self, path: &str) -> (u16, Vec<u8>) {
         if self.is_down.load(Ordering::Relaxed) {
-            return (503, String::new());
+            return (503, Vec::new());
         }
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         let kind = path.rsplit('/').next().unwrap_or_default();
@@ -167,20 +190,21 @@
         let wait_ms = query_number("waitMs").unwrap_or(0);
         match self.watch(kind, since, wait_ms) {
             Some(body) => (200, body),
-            None => (410, String::new()),
+            None => (410, Vec::new()),
         }
     }
 
-    fn list(&self, kind: &str) -> String {
+    fn list(&self, kind: &str) -> Vec<u8> {
         let state = lock(&self.state);
         let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
-        let items: Vec<&Json> = of_kind.map(|(_, object)| object).collect();
-        json!({"items": items, "more": false, "storeRevision": state.revision}).to_string()
+        let items: Vec<&[u8]> = of_kind.map(|(_, object)| object.as_slice()).collect();
+        let tail = format!(",\"more\":false,\"storeRevision\":{}}}", state.revision);
+        [b"{\"items\":", &*array_text(&items), tail.as_bytes()].concat()
     }
 
     /// Returns the events after `since`, or `None` if the store does not have
     /// that revision.
-    fn watch(&self, kind: &str, since: u64, wait_ms: u64) -> Option<String> {
+    fn watch(&self, kind: &str, since: u64, wait_ms: u64) -> Option<Vec<u8>> {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         loop {
             {
@@ -192,11 +216,11 @@
                     .events
                     .iter()
                     .filter(|(revision, k, _)| *revision > since && k == kind);
-                let events: Vec<&Json> = newer_events.map(|(_, _, event)| event).collect();
+                let events: Vec<&[u8]> = newer_events.map(|(_, _, e)| e.as_slice()).collect();
                 if !events.is_empty() || Instant::now() >= deadline {
-                    let revision = state.revision;
-                    let body = json!({"events": events, "storeRevision": revision});
-                    return Some(body.to_string());
+                    let tail = format!(",\"storeRevision\":{}}}", state.revision);
+                    let events = array_text(&events);
+                    return Some([b"{\"events\":", &*events, tail.as_bytes()].concat());
                 }
             }
             thread::sleep(WATCH_POLL_INTERVAL);
--- a/tests/platform_objects.rs
+++ b/tests/platform_objects.rs
@@ -59,7 +59,11 @@
 }
 
 fn parse(call: &StoreCall, status: u16, body: &Json) -> StoreAnswer {
-    PlatformAdapter.read_answer(call, status, ERA, body.to_string().as_bytes())
+    read(call, status, body.to_string().as_bytes())
+}
+
+fn read(call: &StoreCall, status: u16, body: &[u8]) -> StoreAnswer {
+    PlatformAdapter.read_answer(call, status, ERA, body).answer
 }
 
 fn item(name: &str, spec: Json) -> Json {
@@ -240,7 +244,7 @@
         .position(|w| w == b"XX")
         .expect("the placeholder");
     bytes[offset] = 0xff;
-    let answer = PlatformAdapter.read_answer(&list(Kind::BackendServers), 200, ERA, &bytes);
+    let answer = read(&list(Kind::BackendServers), 200, &bytes);
     let StoreAnswer::Page { objects, .. } = answer else {
         panic!("{answer:?}");
     };
