Go on with a list after a page of which no object was used

Callers would have seen: if all objects of a page are without a readable name and revision, or are configurations under other names than that in force, the list ended there. Backend servers on later pages counted as removed and their flows were reset; a configuration there was never read.

Cause: the next page was asked for by the last object that was parsed; without one the reader took the list for complete although the store said that more follows. Found while the parsing of malformed objects was mended, not seen in service.

Change: the adapter returns the name after which the next page starts, whether that object is used or not. A page that has a successor and no readable name counts as no answer, so that the VMs keep what they know.

Tests: on the commit before, a_list_goes_on_after_a_page_without_usable_objects and a_configuration_behind_a_page_of_others_is_read fail ("the list has ended with its first page"), and an_answer_that_is_none_is_reported fails with its new body.

--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -232,8 +232,9 @@
     Page {
         /// Objects, ordered by name.
         objects: Vec<Object>,
-        /// Whether another page follows.
-        more: bool,
+        /// Name after which the next page starts; `None` on the last page. It may be
+        /// the name of an object that is not among `objects`.
+        next: Option<String>,
         /// Position of the store.
         position: Position,
     },
--- a/src/core/steering/store_reader.rs
+++ b/src/core/steering/store_reader.rs
@@ -220,11 +220,11 @@
         match answer {
             StoreAnswer::Page {
                 objects,
-                more,
+                next,
                 position,
             } => {
                 self.failures = 0;
-                self.on_page(objects, more, position)
+                self.on_page(objects, next, position)
             }
             StoreAnswer::Changes { changes, position } => {
                 self.failures = 0;
@@ -254,7 +254,7 @@
     fn on_page(
         &mut self,
         page: Vec<Object>,
-        more: bool,
+        next: Option<String>,
         position: Position,
     ) -> Option<(Update, Position)> {
         let State::Listing {
@@ -273,10 +273,9 @@
         }
         let position = lowest.map_or(position, |l| l.min(position));
         *lowest = Some(position);
-        let last = page.last().map(|o| o.name.clone());
         objects.extend(page);
-        if more && last.is_some() {
-            *after = last;
+        if next.is_some() {
+            *after = next;
             return None;
         }
         let all = std::mem::take(objects);
--- a/testkit/src/steering/store.rs
+++ b/testkit/src/steering/store.rs
@@ -163,11 +163,12 @@
             .filter(|((k, name), _)| *k == kind && after.is_none_or(|a| name.as_str() > a))
             .map(|(_, object)| object.clone());
         let mut objects: Vec<Object> = all.collect();
-        let more = objects.len() > PAGE_SIZE;
+        let has_more = objects.len() > PAGE_SIZE;
         objects.truncate(PAGE_SIZE);
+        let last = objects.last().map(|o| o.name.clone());
         StoreAnswer::Page {
             objects,
-            more,
+            next: last.filter(|_| has_more),
             position: self.position(),
         }
     }
--- a/tests/platform_malformed.rs
+++ b/tests/platform_malformed.rs
@@ -2,23 +2,34 @@
 //! it is reported with its name, and all other objects of an answer are used.
 
 use dragonflytrack::{
-    core::steering::store::{
-        Change,
-        Era,
-        Kind,
-        Malformed,
-        Object,
-        Position,
-        Revision,
-        StoreAnswer,
-        StoreCall,
-        Value, //
+    core::steering::{
+        store::{
+            Change,
+            Era,
+            Kind,
+            Malformed,
+            Object,
+            Position,
+            Revision,
+            StoreAnswer,
+            StoreCall,
+            Value, //
+        },
+        store_reader::{
+            Backoff,
+            Step,
+            StoreReader,
+            Update, //
+        },
     },
     edge::steering::format::{
         ParsedAnswer,
         PlatformFormat, //
     },
-    kernel::clock::Millis,
+    kernel::clock::{
+        Millis,
+        Time, //
+    },
     platform::PlatformAdapter,
 };
 use dragonflytrack_testkit::malformed::{
@@ -30,6 +41,10 @@
     wrong_texts, //
 };
 use proptest::prelude::*;
+use rand::{
+    SeedableRng,
+    rngs::SmallRng, //
+};
 use serde_json::{
     Value as Json,
     json, //
@@ -286,6 +301,7 @@
         "{\"items\":[],\"more\":1,\"storeRevision\":1}",
         "{\"items\":[],\"more\":false,\"storeRevision\":-1}",
         "{\"items\":[],\"more\":false,\"storeRevision\":18446744073709551616}",
+        "{\"items\":[],\"more\":true,\"storeRevision\":1}",
         "{\"events\":[],\"storeRevision\":1e400}",
         "{\"events\":[\"",
     ];
@@ -301,6 +317,69 @@
     }
 }
 
+/// Reads a list of two pages from the adapter.
+fn read_pages(kind: Kind, pages: [Vec<u8>; 2]) -> Vec<Object> {
+    let (backoff, now) = (
+        Backoff {
+            first: Millis(1),
+            max: Millis(1),
+        },
+        Time(1),
+    );
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut reader = StoreReader::open(kind);
+    let [first, second] = pages.map(|body| {
+        let Step::Call(call) = reader.next(true, Position::NONE, now) else {
+            panic!("the reader does not call");
+        };
+        reader.on_answer(read(&call, &body).answer, backoff, now, &mut rng)
+    });
+    assert_eq!(first, None, "the list has ended with its first page");
+    let Some((Update::All(objects), _)) = second else {
+        panic!("{second:?}");
+    };
+    objects
+}
+
+/// A page of which no object was used ended the list: what followed counted as
+/// removed.
+#[test]
+fn a_list_goes_on_after_a_page_without_usable_objects() {
+    let odd = (0..500).map(|n| item(format!("\"a{n:03}\"").as_bytes(), b"-1", b"{}"));
+    let odd: Vec<Vec<u8>> = odd.chain([item(b"\"\\ud83d\"", b"1", b"{}")]).collect();
+    let pages = [list_body(&odd, true), list_body(&[valid_item(1)], false)];
+    let objects = read_pages(Kind::BackendServers, pages);
+    assert!(
+        objects
+            .iter()
+            .any(|o| o.name == valid_name(1) && o.value.is_some())
+    );
+}
+
+/// The same with objects that are no configuration in force.
+#[test]
+fn a_configuration_behind_a_page_of_others_is_read() {
+    let others = (0..500).map(|n| named_item(&format!("a{n:03}"), b"{}"));
+    let others: Vec<Vec<u8>> = others.collect();
+    let main = json!({"version": 7, "routes": [], "services": [], "limits": {"idleTimeoutMs": 1}});
+    let main = named_item("main", main.to_string().as_bytes());
+    let pages = [list_body(&others, true), list_body(&[main], false)];
+    let objects = read_pages(Kind::Configuration, pages);
+    assert!(matches!(&objects[..], [o] if o.name == "main" && o.value.is_some()));
+}
+
+/// The next page starts after the last name that can be read.
+#[test]
+fn the_next_page_starts_after_the_last_readable_name() {
+    let items = [
+        valid_item(1),
+        item(b"\"b\"", b"-1", b"{}"),
+        item(b"\"\\ud83d\"", b"1", b"{}"),
+    ];
+    let answer = read(&list(Kind::BackendServers, None), &list_body(&items, true)).answer;
+    assert!(matches!(answer, StoreAnswer::Page { next: Some(name), .. } if name == "b"));
+}
+
 /// An object of a random answer.
 #[derive(Clone, Debug)]
 enum Entry {
