--- a/src/core/steering/placement/sampling.rs
+++ b/src/core/steering/placement/sampling.rs
@@ -47,7 +47,7 @@
         let slots: u32 = remote
             .filter(|e| e.may_hold_flows())
             .map(|e| e.server.slots)
-            .sum();
+            .fold(0, u32::saturating_add);
         demand.map(load).sum::<f64>() / f64::from(slots.max(1))
     }
 }
--- a/src/core/steering/reachability.rs
+++ b/src/core/steering/reachability.rs
@@ -162,18 +162,19 @@
             return;
         }
         survey.has_backends = true;
+        let slots = entry.server.slots;
         let data_centre = &entry.server.data_centre;
         if *data_centre == self.me.data_centre
             && self.directory.fitness(entry, now) < Fitness::Unfit
         {
-            survey.local_slots += entry.server.slots;
+            survey.local_slots = survey.local_slots.saturating_add(slots);
         }
         match self.access(tag, entry, now) {
             Access::Open(fitness) => {
                 survey.open += 1;
                 survey.is_proven |= self.paths.has_worked(data_centre);
                 if fitness == Fitness::Ready {
-                    survey.ready_slots += entry.server.slots;
+                    survey.ready_slots = survey.ready_slots.saturating_add(slots);
                 }
             }
             Access::BehindLostPath => {
