Keep the tag of a live backend server from another object with its key

Callers would have seen: another program writes an object whose name ends in the key of a live backend server, with another service, and each VM resets all flows of that backend server.

Cause: a backend server is known by the tag of its key. The same key under another name counted as the same backend server, and its other service as the end of the one before. Found while the reading of malformed objects was mended, not seen in service.

Change: the first known object keeps the tag while its backend server lives.

Tests: an_object_with_the_key_of_another_resets_no_flow fails on the commit before (VM 0 resets the flow as BackendGone) and passes now.

--- a/src/core/steering/directory.rs
+++ b/src/core/steering/directory.rs
@@ -69,6 +69,9 @@
     /// States of a restored store that were doubted since the last call of
     /// [`Directory::take_doubted`].
     doubted: usize,
+    /// Names of objects that were passed over since the last call of
+    /// [`Directory::take_conflicts`], because another one has their tag.
+    conflicts: Vec<String>,
     /// Removals up to this position may be missing from exports.
     compacted: Position,
 }
@@ -142,6 +145,12 @@
         std::mem::take(&mut self.doubted)
     }
 
+    /// Takes the names of the objects that were passed over since the last call, because
+    /// another one has their tag.
+    pub fn take_conflicts(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.conflicts)
+    }
+
     /// Takes the backend servers whose flows ended since the last call.
     pub fn take_ended(&mut self) -> Vec<EndedBackend> {
         std::mem::take(&mut self.ended)
@@ -199,7 +208,8 @@
             return;
         };
         let tag = Tag::of(server.key);
-        if self.is_tag_taken(tag, server) {
+        if self.is_tag_taken(tag, &object.name) {
+            self.conflicts.push(object.name.clone());
             return;
         }
         if self.is_reassigned(tag, server) {
@@ -227,12 +237,13 @@
         }
     }
 
-    /// Two keys may hash to the same tag. The first known key keeps the tag
-    /// while its backend server lives; the other one gets no flows.
-    fn is_tag_taken(&self, tag: Tag, server: &BackendServer) -> bool {
+    /// Two keys may hash to the same tag, and another program may write an object with
+    /// the key of a backend server. The first known object keeps the tag while its
+    /// backend server lives; the other one gets no flows.
+    fn is_tag_taken(&self, tag: Tag, name: &str) -> bool {
         self.entries
             .get(&tag)
-            .is_some_and(|e| e.server.key != server.key && e.may_hold_flows())
+            .is_some_and(|e| e.name != name && e.may_hold_flows())
     }
 
     /// Returns whether the tag belonged to another backend server, or to the
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -22,6 +22,7 @@
         Change,
         Era,
         Kind,
+        Malformed,
         Object,
         Position,
         Value, //
@@ -62,6 +63,7 @@
             }
         }
         self.record_doubts();
+        self.record_conflicts();
         self.record_evacuations();
         self.sync.advance(kind, position, has_changes, as_of);
         if has_changes {
@@ -87,6 +89,16 @@
             .extend(changes.into_iter().map(Decision::Evacuation));
     }
 
+    fn record_conflicts(&mut self) {
+        let conflicts = self.directory.take_conflicts().into_iter();
+        let malformed = conflicts.map(|name| Malformed::Object {
+            subject: Kind::BackendServers.subject(),
+            name,
+            error: "another object has its key".to_owned(),
+        });
+        self.on_malformed(malformed.collect());
+    }
+
     fn record_doubts(&mut self) {
         let backends = self.directory.take_doubted();
         if backends > 0 {
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -45,6 +45,15 @@
 impl Kind {
     /// All kinds, in the order of their discriminants.
     pub const ALL: [Kind; 3] = [Kind::Configuration, Kind::BackendServers, Kind::Evacuations];
+
+    /// Name for the log and the metrics.
+    pub fn subject(self) -> &'static str {
+        match self {
+            Kind::Configuration => "configuration",
+            Kind::BackendServers => "backend_servers",
+            Kind::Evacuations => "evacuations",
+        }
+    }
 }
 
 /// A backend server, as it describes itself.
@@ -196,12 +205,7 @@
 
     /// Subject of the call, for the log and the metrics.
     pub fn subject(&self) -> &'static str {
-        match self.kind() {
-            Some(Kind::Configuration) => "configuration",
-            Some(Kind::BackendServers) => "backend_servers",
-            Some(Kind::Evacuations) => "evacuations",
-            None => "vms",
-        }
+        self.kind().map_or("vms", Kind::subject)
     }
 
     /// Returns whether the answer may be a few seconds stale.
--- a/tests/steering_malformed.rs
+++ b/tests/steering_malformed.rs
@@ -1,23 +1,63 @@
-//! Tests of backend servers that other programs, or a fault, have written.
+//! Tests of backend servers that other programs, or a fault, have written: numbers of
+//! all sizes, and keys that are in use.
 
 use dragonflytrack::{
-    core::steering::{
-        packet::Verdict,
-        store::BackendServer,
-        tag::Tag, //
+    core::{
+        names::ServiceId,
+        steering::{
+            decision::Decision,
+            packet::Verdict,
+            store::{
+                BackendServer,
+                Kind,
+                Malformed,
+                Value, //
+            },
+            tag::Tag, //
+        },
     },
     kernel::clock::Millis,
 };
 use dragonflytrack_testkit::steering::{
-    data,
+    Simulation, data,
     restores::{
         DATA_CENTRES,
+        is_used,
         server,
         start_sim, //
     },
 };
 use proptest::prelude::*;
 
+/// A backend server that the store lists under the name and with the key of another.
+fn put_under(sim: &mut Simulation, name: &str, server: &BackendServer) {
+    let value = Value::BackendServer(server.clone());
+    sim.store.put(Kind::BackendServers, name, Some(value));
+}
+
+/// An object with the key of a live backend server, under another name and with
+/// another service, reset the flows of that backend server.
+#[test]
+fn an_object_with_the_key_of_another_resets_no_flow() {
+    let mut sim = start_sim();
+    let tag = Tag::of(server(1).key);
+    let flow = data(5_000, tag, 1, 500);
+    assert!(matches!(sim.packet(0, &flow), Verdict::Forward(_)));
+    let other = BackendServer {
+        service: ServiceId::new("inventory"),
+        started_unix_ms: u64::MAX,
+        ..server(1)
+    };
+    put_under(&mut sim, "other-01", &other);
+    sim.run(Millis(3_000));
+    sim.store.remove(Kind::BackendServers, "other-01");
+    sim.run(Millis(3_000));
+    assert!(sim.resets.is_empty(), "{:?}", sim.resets);
+    assert!(is_used(&mut sim, tag));
+    let is_reported = |(_, decision): &(usize, Decision)| matches!(decision, Decision::Malformed(Malformed::Object { name, .. }) if name == "other-01");
+    assert!(sim.decisions.iter().any(is_reported));
+}
+
 fn numbers() -> impl Strategy<Value = u64> {
     prop_oneof![
         0..10_u64,
