--- a/src/core/steering/mod.rs
+++ b/src/core/steering/mod.rs
@@ -54,6 +54,7 @@
 
 mod dark_data_centre;
 mod exchange;
+mod exported;
 mod first_read;
 mod flow_resets;
 mod hubs;
--- a/src/core/steering/snapshots.rs
+++ b/src/core/steering/snapshots.rs
@@ -9,11 +9,11 @@
     Action,
     Steering,
     decision::Source,
-    directory::Exported,
     exchange::{
         SNAPSHOT_REQUEST_INTERVAL,
         TRANSIT_TIME, //
     },
+    exported::Exported,
     peers::{
         Heartbeat,
         KindQuery,
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod sample;
 pub mod slots;
 pub mod steering;
+pub mod store_calls;
 
 pub use backend::FakeBackend;
 pub use fleet::Fleet;
--- a/tests/platform_malformed.rs
+++ b/tests/platform_malformed.rs
@@ -5,12 +5,10 @@
     core::steering::{
         store::{
             Change,
-            Era,
             Kind,
             Malformed,
             Object,
             Position,
-            Revision,
             StoreAnswer,
             StoreCall,
             Value, //
@@ -32,25 +30,28 @@
     },
     platform::PlatformAdapter,
 };
-use dragonflytrack_testkit::malformed::{
-    DEPTHS,
-    nested_array,
-    nested_object,
-    server_text,
-    unreadable_texts,
-    wrong_texts, //
+use dragonflytrack_testkit::{
+    malformed::{
+        DEPTHS,
+        nested_array,
+        nested_object,
+        server_text,
+        unreadable_texts,
+        wrong_texts, //
+    },
+    store_calls::{
+        ERA,
+        list,
+        server_spec,
+        watch, //
+    },
 };
 use proptest::prelude::*;
 use rand::{
     SeedableRng,
     rngs::SmallRng, //
 };
-use serde_json::{
-    Value as Json,
-    json, //
-};
-
-const ERA: Era = Era(2);
+use serde_json::json;
 
 const FIELDS: [&str; 7] = [
     "service",
@@ -62,33 +63,10 @@
     "born",
 ];
 
-fn list(kind: Kind, after: Option<String>) -> StoreCall {
-    StoreCall::List {
-        kind,
-        after,
-        allow_stale: false,
-    }
-}
-
-fn watch(kind: Kind) -> StoreCall {
-    StoreCall::Watch {
-        kind,
-        since: Position::new(ERA, Revision(1)),
-        wait: Millis(1_500),
-    }
-}
-
 fn read(call: &StoreCall, body: &[u8]) -> ParsedAnswer {
     PlatformAdapter.read_answer(call, 200, ERA, body)
 }
 
-fn server_spec() -> Json {
-    json!({
-        "service": "web", "address": "10.128.0.9:8080", "zone": "a", "version": "v1",
-        "concurrency": 4, "state": "ready", "warmupLeftMs": 700, "sequence": 4, "born": 1_790_000_000_123_u64,
-    })
-}
-
 /// Returns the JSON text of an object with any texts for its parts.
 fn item(name: &[u8], revision: &[u8], spec: &[u8]) -> Vec<u8> {
     [
@@ -166,7 +144,7 @@
         let mut items: Vec<Vec<u8>> = (1..=2).map(valid_item).collect();
         items.insert(place, odd.to_vec());
         let calls = [
-            (list(Kind::BackendServers, None), list_body(&items, false)),
+            (list(Kind::BackendServers), list_body(&items, false)),
             (watch(Kind::BackendServers), watch_body(&items)),
         ];
         for (call, body) in calls {
@@ -238,7 +216,7 @@
         item.truncate(item.len() - b",\"status\":null}".len());
         item.extend(status);
         let body = list_body(&[item], false);
-        let ParsedAnswer { answer, malformed } = read(&list(Kind::BackendServers, None), &body);
+        let ParsedAnswer { answer, malformed } = read(&list(Kind::BackendServers), &body);
         assert_eq!(usable(answer), [valid_name(1)]);
         assert!(malformed.is_empty());
     }
@@ -249,7 +227,7 @@
     for text in unreadable_texts() {
         let items = [named_item("a", &text), named_item("b", b"{}")];
         let body = list_body(&items, false);
-        let ParsedAnswer { answer, malformed } = read(&list(Kind::Evacuations, None), &body);
+        let ParsedAnswer { answer, malformed } = read(&list(Kind::Evacuations), &body);
         let names: Vec<String> = objects(answer).into_iter().map(|o| o.name).collect();
         assert_eq!(names, ["a", "b"]);
         assert!(malformed.is_empty());
@@ -278,7 +256,7 @@
     for text in unreadable_texts() {
         let items = [named_item("other", &text), named_item("main", &text)];
         let body = list_body(&items, false);
-        let ParsedAnswer { answer, malformed } = read(&list(Kind::Configuration, None), &body);
+        let ParsedAnswer { answer, malformed } = read(&list(Kind::Configuration), &body);
         assert!(objects(answer).iter().all(|o| o.value.is_none()));
         assert_eq!(reported(&malformed), ["main"]);
     }
@@ -308,7 +286,7 @@
     bodies.extend(texts.map(|t| t.as_bytes().to_vec()));
     for body in bodies {
         for kind in Kind::ALL {
-            for call in [list(kind, None), watch(kind)] {
+            for call in [list(kind), watch(kind)] {
                 let ParsedAnswer { answer, malformed } = read(&call, &body);
                 assert_eq!(answer, StoreAnswer::NoAnswer);
                 assert!(matches!(&malformed[..], [Malformed::Answer { .. }]));
@@ -376,7 +354,7 @@
         item(b"\"b\"", b"-1", b"{}"),
         item(b"\"\\ud83d\"", b"1", b"{}"),
     ];
-    let answer = read(&list(Kind::BackendServers, None), &list_body(&items, true)).answer;
+    let answer = read(&list(Kind::BackendServers), &list_body(&items, true)).answer;
     assert!(matches!(answer, StoreAnswer::Page { next: Some(name), .. } if name == "b"));
 }
 
@@ -443,7 +421,7 @@
         };
         let valid: Vec<String> = entries.iter().enumerate().filter_map(is_valid).collect();
         let calls = [
-            (list(Kind::BackendServers, None), list_body(&items, false)),
+            (list(Kind::BackendServers), list_body(&items, false)),
             (watch(Kind::BackendServers), watch_body(&items)),
         ];
         for (call, body) in calls {
@@ -462,8 +440,8 @@
     ) {
         let items: Vec<Vec<u8>> = (0..4).map(valid_item).collect();
         for (call, mut body) in [
-            (list(Kind::BackendServers, None), list_body(&items, false)),
-            (list(Kind::Configuration, None), list_body(&items, true)),
+            (list(Kind::BackendServers), list_body(&items, false)),
+            (list(Kind::Configuration), list_body(&items, true)),
             (watch(Kind::BackendServers), watch_body(&items)),
             (StoreCall::Lookup, list_body(&items, false)),
         ] {
--- a/tests/platform_objects.rs
+++ b/tests/platform_objects.rs
@@ -15,7 +15,6 @@
             store::{
                 BackendServer,
                 Configuration,
-                Era,
                 Kind,
                 Object,
                 Position,
@@ -34,30 +33,18 @@
     kernel::clock::Millis,
     platform::PlatformAdapter,
 };
+use dragonflytrack_testkit::store_calls::{
+    ERA,
+    list,
+    server_spec,
+    watch, //
+};
 use proptest::prelude::*;
 use serde_json::{
     Value as Json,
     json, //
 };
 
-const ERA: Era = Era(2);
-
-fn list(kind: Kind) -> StoreCall {
-    StoreCall::List {
-        kind,
-        after: None,
-        allow_stale: false,
-    }
-}
-
-fn watch(kind: Kind) -> StoreCall {
-    StoreCall::Watch {
-        kind,
-        since: Position::new(ERA, Revision(530)),
-        wait: Millis(1_500),
-    }
-}
-
 fn parse(call: &StoreCall, status: u16, body: &Json) -> StoreAnswer {
     read(call, status, body.to_string().as_bytes())
 }
@@ -74,13 +61,6 @@
     })
 }
 
-fn server_spec() -> Json {
-    json!({
-        "service": "huvo11a", "address": "10.128.0.9:8080", "zone": "caerdydd", "version": "v1",
-        "concurrency": 4, "state": "ready", "warmupLeftMs": 700, "sequence": 4, "born": 1_790_000_000_123_u64,
-    })
-}
-
 fn parse_page(kind: Kind, items: &[Json]) -> Vec<Object> {
     let body = json!({"items": items, "more": false, "storeRevision": 530});
     match parse(&list(kind), 200, &body) {
--- a/tests/steering_evacuations.rs
+++ b/tests/steering_evacuations.rs
@@ -49,6 +49,23 @@
     sim.store.restore(copy);
 }
 
+/// Ends an evacuation that the store then lists again, restored from a copy.
+fn restore_evacuation(sim: &mut Simulation, data_centre: &str) {
+    evacuate(sim, data_centre);
+    sim.run(Millis(2_000));
+    let copy = sim.store.copy();
+    end_evacuation(sim, data_centre);
+    sim.run(Millis(3_000));
+    sim.store.restore(copy);
+}
+
+/// Ends the evacuation and checks that all VMs use the data centre again.
+fn assert_return(sim: &mut Simulation, data_centre: &str) {
+    end_evacuation(sim, data_centre);
+    sim.run(BOUND + BOUND);
+    assert_eq!(senders_to(sim, data_centre).len(), DATA_CENTRES.len());
+}
+
 /// Cuts a VM off from the store and from all others.
 fn cut_off(sim: &mut Simulation, vm: usize) {
     sim.without_store.insert(vm);
@@ -75,9 +92,7 @@
     assert_eq!(senders_to(&mut sim, "b"), NOBODY);
     sim.run(EVACUATION_BOUND);
     assert_eq!(senders_to(&mut sim, "b"), NOBODY);
-    end_evacuation(&mut sim, "b");
-    sim.run(BOUND + BOUND);
-    assert_eq!(senders_to(&mut sim, "b").len(), DATA_CENTRES.len());
+    assert_return(&mut sim, "b");
 }
 
 /// The same while the operators had little time since the restore: the revision
@@ -132,30 +147,18 @@
 #[test]
 fn an_evacuation_that_the_copy_lists_is_followed_within_the_bound() {
     let mut sim = start_sim();
-    evacuate(&mut sim, "b");
-    sim.run(Millis(2_000));
-    let copy = sim.store.copy();
-    end_evacuation(&mut sim, "b");
-    sim.run(Millis(3_000));
-    sim.store.restore(copy);
+    restore_evacuation(&mut sim, "b");
     evacuate(&mut sim, "b");
     sim.run(STABLE_TIME);
     assert_eq!(senders_to(&mut sim, "b"), NOBODY);
-    end_evacuation(&mut sim, "b");
-    sim.run(BOUND + BOUND);
-    assert_eq!(senders_to(&mut sim, "b").len(), DATA_CENTRES.len());
+    assert_return(&mut sim, "b");
 }
 
 /// A doubted evacuation is logged by each VM that doubts it.
 #[test]
 fn a_doubted_evacuation_is_logged() {
     let mut sim = start_sim();
-    evacuate(&mut sim, "b");
-    sim.run(Millis(2_000));
-    let copy = sim.store.copy();
-    end_evacuation(&mut sim, "b");
-    sim.run(Millis(3_000));
-    sim.store.restore(copy);
+    restore_evacuation(&mut sim, "b");
     sim.run(Millis(1_500));
     let doubting = sim.decisions.iter().filter(|(_, decision)| {
         matches!(decision, Decision::Evacuation(c) if c.step == EvacuationStep::Doubted)
