--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -36,13 +36,19 @@
 GRACE = 6.0
 HEARTBEAT = 0.77
 
-# The store: its history in seconds, the size of a page and of a value in bytes.
+# Limit of a run in seconds.
+RUN_LIMIT = 115
+
+# The store: its history and the time of an answer in seconds, the size of a page and of a value in bytes.
 HISTORY = 20.0
+ANSWER_TIME = 0.004
 PAGE_BYTES = 1 << 20
 VALUE_BYTES = 1 << 20
 
 RST, FIN, SYN, ACK = 1, 2, 16, 32
 HEAD = struct.Struct(">BBIIIHHHIII")
+# All processes that were started, so that none outlives a script that takes too long.
+PROCESSES = []
 SUM_KEY = b"known to clients and hosts only"
 
 
@@ -122,6 +128,9 @@
         self.revision = 100
         self.era = 1
         self.is_away = False
+        # How old a list with allowStale is, in seconds.
+        self.stale_s = 0.0
+        self.states = []
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -133,6 +142,7 @@
             def do(self, method):
                 length = int(self.headers.get("Content-Length") or 0)
                 body = self.rfile.read(length) if length else b""
+                time.sleep(ANSWER_TIME)
                 try:
                     status, answer = store.handle(method, self.path, body, self.client_address)
                 except Exception:
@@ -188,7 +198,10 @@
             if method == "GET" and "watch" in query:
                 return self.watch(kind, int(query["watch"]), int(query.get("waitMs", 0)))
             if method == "GET":
-                return 200, self.page(kind, query.get("after", ""))
+                objects, revision = self.objects, self.revision
+                if query.get("allowStale") == "1" and self.states:
+                    objects, revision = self.as_of(time.monotonic() - self.stale_s)
+                return 200, self.page(kind, query.get("after", ""), objects, revision)
         if method == "POST":
             spec = json.loads(body)
             name = spec["meta"]["name"]
@@ -203,30 +216,44 @@
             return 200, self.put(kind, name, json.loads(body).get("spec"))
         return 404, {}
 
-    def page(self, kind, after):
+    def page(self, kind, after, objects, revision):
         """A page of about 500 objects or 1 MB at most."""
-        names = sorted(n for n in self.objects.get(kind, {}) if n > after)
+        names = sorted(n for n in objects.get(kind, {}) if n > after)
         items, size = [], 0
         for name in names[:500]:
-            item = self.encoded(self.objects[kind][name])
+            item = self.encoded(objects[kind][name])
             if items and size + len(item) > PAGE_BYTES:
                 break
             items.append(item)
             size += len(item)
         more = b"true" if len(names) > len(items) else b"false"
-        return b'{"items":[%s],"more":%s,"storeRevision":%d}' % (b",".join(items), more, self.revision)
+        return b'{"items":[%s],"more":%s,"storeRevision":%d}' % (b",".join(items), more, revision)
+
+    def as_of(self, at):
+        """Returns the objects and the revision that the store had at a time."""
+        states = [s for s in self.states if s[0] <= at]
+        _, objects, revision = states[-1] if states else self.states[0]
+        return objects, revision
+
+    def keep_state(self):
+        """Keeps the present state for answers that may be stale."""
+        if self.stale_s:
+            objects = {k: dict(v) for k, v in self.objects.items()}
+            self.states.append((time.monotonic(), objects, self.revision))
+            del self.states[:-200]
 
     def encoded(self, made):
         """Returns the object as JSON, encoded once for each revision."""
-        key = made["meta"]["revision"], made["meta"]["name"], self.era
+        key = id(made)
         if key not in self.texts:
-            self.texts[key] = json.dumps(made).encode()
-        return self.texts[key]
+            self.texts[key] = made, json.dumps(made).encode()
+        return self.texts[key][1]
 
     def event(self, kind, made, deleted):
         """Appends an event and drops those that are older than the history."""
         text = b'{"deleted":%s,"object":%s}' % (b"true" if deleted else b"false", self.encoded(made))
         now = time.monotonic()
+        self.keep_state()
         self.events.append((self.revision, kind, text, now))
         while self.events and now - self.events[0][3] > HISTORY:
             self.oldest = self.events.pop(0)[0]
@@ -290,6 +317,7 @@
             self.events, self.revision = list(events), revision
             self.era += 1
             self.is_away = False
+            self.keep_state()
             self.cond.notify_all()
 
 
@@ -623,6 +651,7 @@
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen([BINARY, "steer"], cwd=ROOT, env=env, stdout=log,
                                             stderr=log, stdin=subprocess.DEVNULL)
+        PROCESSES.append(self.process)
         self.started_at = self.world.record.now()
         self.world.record.write(f"{self.name} starts")
 
@@ -767,6 +796,14 @@
     return found
 
 
+def give_up():
+    """Ends all processes; the case could not run."""
+    for process in PROCESSES:
+        if process.poll() is None:
+            process.kill()
+    os._exit(2)
+
+
 def main(case):
     """Runs `case(folder, trouble)`, which returns the broken promises, and exits as asked:
     1 if the rule was broken, 0 if it held, 2 if the case could not run."""
@@ -775,7 +812,10 @@
     if not os.access(BINARY, os.X_OK):
         print("the build of the deploy file is missing")
         os._exit(2)
-    threading.Timer(115, lambda: os._exit(2)).start()
+    timer = threading.Timer(RUN_LIMIT, give_up)
+    timer.daemon = True
+    timer.start()
+    signal.signal(signal.SIGTERM, lambda *_: give_up())
     try:
         broken = case(folder, trouble)
     except Exception:
