Ask for all fields of a backend server's record

Cause: the adapter asked only for the fields that it uses, so a record in which another field is missing or has another type counted as the backend server's own.

--- a/tests/platform_malformed.rs
+++ b/tests/platform_malformed.rs
@@ -53,13 +53,15 @@
 };
 use serde_json::json;
 
-const FIELDS: [&str; 7] = [
+const FIELDS: [&str; 9] = [
     "service",
     "address",
     "zone",
+    "version",
     "concurrency",
     "state",
     "warmupLeftMs",
+    "sequence",
     "born",
 ];
 
@@ -168,6 +170,8 @@
     }
 }
 
+/// An object without `version` and `sequence` counted as that of a backend server, which
+/// then got flows of the service that it named (review/14).
 #[test]
 fn a_wrong_or_missing_field_affects_one_backend_server() {
     for field in FIELDS {
--- a/tests/platform_objects.rs
+++ b/tests/platform_objects.rs
@@ -180,9 +180,11 @@
         "service",
         "address",
         "zone",
+        "version",
         "concurrency",
         "state",
         "warmupLeftMs",
+        "sequence",
     ];
     for field in fields {
         let mut missing = server_spec();
