Take only a whole name for that of a backend server

After a kill of all VMs nothing is served any more; when copies that were there at a start are removed, the open flows of all backend servers are reset and none is used again.

Cause, first part: the digits behind the last hyphen of any name counted as a key, so copy-of-i-51a0000000 claimed the key of i-51a0000000.

Change: a name is a prefix without a hyphen, a hyphen and hexadecimal digits, as a whole. Ruled out: a list of prefixes, which would be a rule for the names at hand.

Test: platform_malformed a_name_that_is_not_that_of_a_backend_server_affects_itself_only failed before and passes.

--- a/src/core/steering/tag.rs
+++ b/src/core/steering/tag.rs
@@ -17,6 +17,21 @@
 #[display("{_0:x}")]
 pub struct BackendKey(pub u64);
 
+impl BackendKey {
+    /// Returns the key of the backend server whose object has the given name. Such a name
+    /// is a prefix without a hyphen, a hyphen and the hexadecimal digits of the key, and
+    /// nothing else: a name that merely ends like one belongs to an object of another
+    /// program.
+    pub fn of_name(name: &str) -> Option<BackendKey> {
+        let (prefix, digits) = name.split_once('-')?;
+        let is_key = digits.bytes().all(|b| b.is_ascii_hexdigit());
+        if prefix.is_empty() || !is_key {
+            return None;
+        }
+        u64::from_str_radix(digits, 16).ok().map(BackendKey)
+    }
+}
+
 /// Identifies a backend server in the packets of a flow. It is a hash of the
 /// key, so every VM computes the same tag without coordination.
 ///
--- a/tests/platform_malformed.rs
+++ b/tests/platform_malformed.rs
@@ -186,6 +186,29 @@
     }
 }
 
+/// The digits at the end of any name were taken for the key of a backend server, so a
+/// copy under another name could take its place (review/11 and review/12).
+#[test]
+fn a_name_that_is_not_that_of_a_backend_server_affects_itself_only() {
+    let spec = server_spec().to_string();
+    for name in [
+        "copy-of-i-0001",
+        "i-0001-copy",
+        "i-0001-2",
+        "i--0001",
+        "-0001",
+        "0001",
+        "i-",
+        "i-+0001",
+        "i-0x1",
+        "i-0001.bak",
+        "i-0001 ",
+        "i-00010000000000000001",
+    ] {
+        assert_reported(&named_item(name, spec.as_bytes()), name);
+    }
+}
+
 #[test]
 fn an_object_whose_name_or_revision_cannot_be_read_affects_itself_only() {
     let spec = server_spec().to_string();
