Choose between the objects of a backend server by what they say

Cause, second part: of two objects with the key of one backend server, the one that a VM had read first counted until it was removed. A list has the names in order, so at a start the copies came first; the removal of a copy ended a backend server that was still listed. What counted hung on the order of reading and on what was known before.

Change: a VM keeps all objects that claim a tag and chooses by the objects and the configuration alone (src/core/steering/directory/claims.rs): for one key a named service, the later start, the one that drains, the shorter and lower name; for two keys with one tag the earlier start and the lower key. While any object claims a key, its flows go on.

A backend server whose service no configuration names is unfit for new flows and no longer makes a VM ready. What is passed over is reported with its name and reason and counted (7029).

Ruled out: a new version of the messages, which would split the fleet during an upgrade; the order of revisions, in which a copy that is written later would win; the first object for each VM, which differs between VMs.

--- a/src/core/notice.rs
+++ b/src/core/notice.rs
@@ -107,6 +107,6 @@
     7026 EvacuationBegun Info "A data centre is evacuated; it gets no new flows.";
     7027 EvacuationEnded Info "A data centre is no longer evacuated.";
     7028 EvacuationDoubted Warn "A restored store lists an evacuation that had ended; operators have a moment to remove it again.";
-    7029 ObjectMalformed Warn "An object of the store is malformed; it is not used, the others are.";
+    7029 ObjectMalformed Warn "An object of the store is not used; the others are.";
     7030 AnswerMalformed Warn "An answer of the store cannot be read; the call is repeated.";
 }
--- a/src/core/steering/directory.rs
+++ b/src/core/steering/directory/mod.rs
@@ -2,6 +2,19 @@
 
 use hashbrown::HashMap;
 
+mod claims;
+mod passed_over;
+mod resolution;
+
+use claims::{
+    NamedServices,
+    Rivals, //
+};
+pub use passed_over::{
+    PassedOver,
+    PassedOverReason, //
+};
+
 use super::{
     directory_entry::{
         Entry,
@@ -13,8 +26,7 @@
         BackendServer,
         Change,
         Object,
-        Position,
-        Value, //
+        Position, //
     },
     tag::Tag,
 };
@@ -70,9 +82,12 @@
     /// States of a restored store that were doubted since the last call of
     /// [`Directory::take_doubted`].
     doubted: usize,
-    /// Names of objects that were passed over since the last call of
-    /// [`Directory::take_conflicts`], because another one has their tag.
-    conflicts: Vec<String>,
+    /// Objects whose tag belongs to the object of an entry.
+    rivals: Rivals,
+    named_services: NamedServices,
+    /// Objects that were passed over since the last call of
+    /// [`Directory::take_passed_over`].
+    passed_over: Vec<PassedOver>,
     /// Removals up to this position may be missing from exports.
     compacted: Position,
 }
@@ -102,7 +117,8 @@
     /// Returns the fitness of a backend server for new flows.
     pub fn fitness(&self, entry: &Entry, now: Time) -> Fitness {
         let data_centre = &entry.server.data_centre;
-        if entry.server.draining || self.evacuations.is_evacuated(data_centre) {
+        let has_route = self.is_named(&entry.server.service);
+        if !has_route || entry.server.draining || self.evacuations.is_evacuated(data_centre) {
             return Fitness::Unfit;
         }
         match entry.presence {
@@ -124,10 +140,9 @@
         std::mem::take(&mut self.doubted)
     }
 
-    /// Takes the names of the objects that were passed over since the last call, because
-    /// another one has their tag.
-    pub fn take_conflicts(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.conflicts)
+    /// Takes the objects that were passed over since the last call.
+    pub fn take_passed_over(&mut self) -> Vec<PassedOver> {
+        std::mem::take(&mut self.passed_over)
     }
 
     /// Takes the backend servers whose flows ended since the last call.
@@ -142,6 +157,15 @@
             self.upsert(object, now);
         }
         let listed: hashbrown::HashSet<&str> = objects.iter().map(|o| o.name.as_str()).collect();
+        let unlisted_rivals: Vec<String> = self
+            .rivals
+            .iter()
+            .filter(|o| o.position <= position && !listed.contains(o.name.as_str()))
+            .map(|o| o.name.clone())
+            .collect();
+        for name in unlisted_rivals {
+            self.remove_rival(&name, position);
+        }
         let unlisted: Vec<Tag> = self
             .entries
             .iter()
@@ -159,7 +183,14 @@
             self.upsert(&change.object, now);
             return;
         }
-        let Some(tag) = self.tags.get(change.object.name.as_str()).copied() else {
+        let name = change.object.name.as_str();
+        if let Some(known) = self.rivals.position(name) {
+            if known <= change.object.position {
+                self.remove_rival(name, change.object.position);
+            }
+            return;
+        }
+        let Some(tag) = self.tags.get(name).copied() else {
             return;
         };
         let is_newer = self
@@ -171,8 +202,12 @@
         }
     }
 
-    /// Records that the store does not list a backend server as of `position`.
+    /// Records that the store does not list the object of a backend server as of
+    /// `position`.
     fn mark_unlisted(&mut self, tag: Tag, position: Position, gone_at: Time, now: Time) {
+        if self.pass_on(tag, position, now) {
+            return;
+        }
         match self.entries.get_mut(&tag) {
             Some(entry) if entry.position.era < position.era && gone_at > now => {
                 entry.mark_not_restored(position, gone_at);
@@ -182,55 +217,47 @@
     }
 
     fn upsert(&mut self, object: &Object, now: Time) {
-        let Some(Value::BackendServer(server)) = &object.value else {
-            self.mark_unusable(object);
+        let Some(server) = object.backend_server() else {
+            self.mark_unusable(object, now);
             return;
         };
         let tag = Tag::of(server.key);
-        if self.is_tag_taken(tag, &object.name) {
-            self.conflicts.push(object.name.clone());
-            return;
-        }
-        if self.has_other_key(tag, server) {
-            self.ended.push(EndedBackend::Gone(tag));
-            self.remove_entry(tag);
-        }
-        match self.entries.get_mut(&tag) {
-            Some(entry) if entry.position >= object.position => {
-                // An object may be listed again after it was missing.
-                if entry.position == object.position && entry.may_hold_flows() {
-                    entry.presence = Presence::Listed;
-                }
+        match self.entries.get(&tag) {
+            Some(entry) if entry.name == object.name => self.update(tag, server, object, now),
+            Some(entry) if entry.may_hold_flows() => self.add_rival(tag, object, now),
+            _ => {
+                self.remove_entry(tag);
+                self.insert(tag, server, object, now);
             }
-            Some(entry) if entry.contradicts(server, object.position) => {
-                entry.doubt(server, object.position, now);
-                self.doubted += 1;
-            }
-            Some(entry) => {
-                if entry.is_restart(server) {
-                    self.ended.push(EndedBackend::Restarted(tag));
-                }
-                let service = entry.server.service.clone();
-                entry.update(server, object.position, now);
-                self.move_to_pool(tag, &service, &server.service);
-            }
-            None => self.insert(tag, server, object, now),
         }
+        self.settle(tag, now);
     }
 
-    /// Two keys may hash to the same tag, and another program may write an object with
-    /// the key of a backend server. The first known object keeps the tag while its
-    /// backend server lives; the other one gets no flows.
-    fn is_tag_taken(&self, tag: Tag, name: &str) -> bool {
-        self.entries
-            .get(&tag)
-            .is_some_and(|e| e.name != name && e.may_hold_flows())
-    }
-
-    /// Returns whether the tag belonged to another backend server.
-    fn has_other_key(&self, tag: Tag, server: &BackendServer) -> bool {
-        let entry = self.entries.get(&tag);
-        entry.is_some_and(|e| e.server.key != server.key)
+    /// Applies another state of the object that counts for a backend server.
+    fn update(&mut self, tag: Tag, server: &BackendServer, object: &Object, now: Time) {
+        let Some(entry) = self.entries.get_mut(&tag) else {
+            return;
+        };
+        if entry.position >= object.position {
+            // An object may be listed again after it was missing.
+            if entry.position == object.position && entry.may_hold_flows() {
+                entry.presence = Presence::Listed;
+            }
+            return;
+        }
+        if entry.contradicts(server, object.position) {
+            entry.doubt(server, object.position, now);
+            self.doubted += 1;
+            return;
+        }
+        if entry.is_restart(server) {
+            self.ended.push(EndedBackend::Restarted(tag));
+        }
+        let service = entry.server.service.clone();
+        entry.update(server, object.position, now);
+        self.move_to_pool(tag, &service, &server.service);
+        self.passed_over
+            .extend(self.report_unnamed(&object.name, &server.service));
     }
 
     fn insert(&mut self, tag: Tag, server: &BackendServer, object: &Object, now: Time) {
@@ -238,6 +265,8 @@
         self.entries.insert(tag, entry);
         self.tags.insert(object.name.clone(), tag);
         self.add_to_pool(tag, &server.service);
+        self.passed_over
+            .extend(self.report_unnamed(&object.name, &server.service));
     }
 
     fn add_to_pool(&mut self, tag: Tag, service: &ServiceId) {
@@ -259,18 +288,26 @@
         }
     }
 
-    /// Stops new flows to a backend server whose object cannot be parsed.
-    fn mark_unusable(&mut self, object: &Object) {
-        let Some(entry) = self
-            .tags
-            .get(object.name.as_str())
-            .and_then(|tag| self.entries.get_mut(tag))
-        else {
+    /// Handles that an object does not describe a backend server. Stops new flows to
+    /// the one that it described before, unless another object claims that, too.
+    fn mark_unusable(&mut self, object: &Object, now: Time) {
+        let name = object.name.as_str();
+        if let Some(known) = self.rivals.position(name) {
+            if known < object.position {
+                self.remove_rival(name, object.position);
+            }
+            return;
+        }
+        let Some(tag) = self.tags.get(name).copied() else {
             return;
         };
-        if entry.position < object.position {
-            entry.position = object.position;
-            entry.server.draining = true;
+        let is_newer = |e: &Entry| e.position < object.position;
+        if !self.entries.get(&tag).is_some_and(is_newer) || self.pass_on(tag, object.position, now)
+        {
+            return;
+        }
+        if let Some(entry) = self.entries.get_mut(&tag) {
+            entry.mark_unreadable(object.position);
         }
     }
 
@@ -289,6 +326,7 @@
         }
         entry.presence = Presence::Gone { since: now };
         self.ended.push(EndedBackend::Gone(tag));
+        self.settle(tag, now);
     }
 
     /// Marks backend servers that were missing for too long as gone and drops
@@ -296,6 +334,7 @@
     /// `outage_settled_at`.
     pub fn tick(&mut self, outage_settled_at: Time, now: Time) {
         let mut expired = Vec::new();
+        let mut gone = Vec::new();
         let mut moved = Vec::new();
         for (tag, entry) in &mut self.entries {
             moved.extend(entry.settle_doubt(now).map(|service| (*tag, service)));
@@ -304,7 +343,7 @@
                     if now >= gone_at.max(outage_settled_at) =>
                 {
                     entry.presence = Presence::Gone { since: now };
-                    self.ended.push(EndedBackend::Gone(*tag));
+                    gone.push(*tag);
                 }
                 Presence::Gone { since } if now.since(since) > GONE_RETENTION => expired.push(*tag),
                 _ => {}
@@ -318,6 +357,10 @@
         for tag in expired {
             self.remove_entry(tag);
         }
+        for tag in gone {
+            self.ended.push(EndedBackend::Gone(tag));
+            self.settle(tag, now);
+        }
     }
 
     fn remove_entry(&mut self, tag: Tag) {
@@ -334,13 +377,14 @@
     /// before `as_of`, the position of this directory.
     pub fn export(&self, since: Position, as_of: Position, now: Time) -> Exported {
         let is_full = since < self.compacted || since.era < as_of.era || since == Position::NONE;
+        let is_wanted = |position: Position| is_full || position > since;
         let mut exported = Exported {
             is_full,
             ..Exported::default()
         };
         for entry in self.entries.values() {
             let is_listed = entry.presence == Presence::Listed;
-            if !is_full && entry.position <= since {
+            if !is_wanted(entry.position) {
                 continue;
             }
             if is_listed {
@@ -349,6 +393,9 @@
                 exported.removed.push(entry.export(now));
             }
         }
+        // Older builds keep the first object that they read of each tag.
+        let rivals = self.rivals.iter().filter(|o| is_wanted(o.position));
+        exported.objects.extend(rivals.cloned());
         exported
     }
 }
--- a/src/core/steering/directory_entry.rs
+++ b/src/core/steering/directory_entry.rs
@@ -62,6 +62,8 @@
     pub(super) name: String,
     /// Position of its object, or of the list that does not name it.
     pub(super) position: Position,
+    /// Whether the last state of its object could be read.
+    pub(super) is_readable: bool,
     /// Latest known start, in milliseconds since the Unix epoch. An object may lack its
     /// own; 0 if none was known.
     latest_start: u64,
@@ -90,10 +92,20 @@
             doubted: None,
             name: object.name.clone(),
             position: object.position,
+            is_readable: true,
             latest_start: server.started_unix_ms,
         }
     }
 
+    /// Replaces the object that counts for the backend server by another one with its
+    /// key. That alone ends no flow: only its own object tells that it started again.
+    pub(super) fn replace(&mut self, server: &BackendServer, object: &Object, now: Time) {
+        *self = Entry {
+            latest_start: self.latest_start.max(server.started_unix_ms),
+            ..Entry::open(server, object, now)
+        };
+    }
+
     /// Returns whether an object is of a later run than any known one.
     pub(super) fn is_restart(&self, server: &BackendServer) -> bool {
         self.latest_start > 0 && server.started_unix_ms > self.latest_start
@@ -152,16 +164,32 @@
         self.server = server.clone();
         self.presence = Presence::Listed;
         self.position = position;
+        self.is_readable = true;
         self.latest_start = self.latest_start.max(server.started_unix_ms);
     }
 
+    /// Stops new flows because the object cannot be read any more. Flows go on.
+    pub(super) fn mark_unreadable(&mut self, position: Position) {
+        self.position = position;
+        self.is_readable = false;
+        self.server.draining = true;
+    }
+
+    /// Returns the object as it was read.
+    pub(super) fn object(&self) -> Object {
+        Object {
+            name: self.name.clone(),
+            position: self.position,
+            value: Some(Value::BackendServer(self.server.clone())),
+        }
+    }
+
     pub(super) fn export(&self, now: Time) -> Object {
         let mut server = self.server.clone();
         server.cold_for = self.cold_until.since(now);
         Object {
-            name: self.name.clone(),
-            position: self.position,
             value: Some(Value::BackendServer(server)),
+            ..self.object()
         }
     }
 }
--- a/src/core/steering/exchange.rs
+++ b/src/core/steering/exchange.rs
@@ -63,7 +63,7 @@
             }
         }
         self.record_doubts();
-        self.record_conflicts();
+        self.record_passed_over();
         self.record_evacuations();
         self.sync.advance(kind, position, has_changes, as_of);
         if has_changes {
@@ -89,12 +89,12 @@
             .extend(changes.into_iter().map(Decision::Evacuation));
     }
 
-    fn record_conflicts(&mut self) {
-        let conflicts = self.directory.take_conflicts().into_iter();
-        let malformed = conflicts.map(|name| Malformed::Object {
+    fn record_passed_over(&mut self) {
+        let passed_over = self.directory.take_passed_over().into_iter();
+        let malformed = passed_over.map(|object| Malformed::Object {
             subject: Kind::BackendServers.subject(),
-            name,
-            error: "another object has its key".to_owned(),
+            name: object.name,
+            error: object.reason.to_string(),
         });
         self.on_malformed(malformed.collect());
     }
@@ -109,7 +109,7 @@
     fn apply_all(&mut self, kind: Kind, objects: Vec<Object>, position: Position, now: Time) {
         let gone_at = self.sync.outage_settled_at();
         match kind {
-            Kind::Configuration => objects.into_iter().for_each(|o| self.configure(o)),
+            Kind::Configuration => objects.into_iter().for_each(|o| self.configure(o, now)),
             Kind::BackendServers => self.directory.replace(&objects, position, gone_at, now),
             Kind::Evacuations => {
                 let era = self.sync.era_view();
@@ -125,24 +125,29 @@
         for change in changes {
             match kind {
                 Kind::Configuration if change.removed => {}
-                Kind::Configuration => self.configure(change.object),
+                Kind::Configuration => self.configure(change.object, now),
                 Kind::BackendServers => self.directory.change(&change, gone_at, now),
                 Kind::Evacuations => self.directory.evacuations.change(&change, era, now),
             }
         }
     }
 
-    fn configure(&mut self, object: Object) {
+    fn configure(&mut self, object: Object, now: Time) {
         let Some(Value::Configuration(cfg)) = object.value else {
             return;
         };
         let version = cfg.version;
-        if self.routing.apply(object.position, cfg) == Activation::HeldBack {
-            self.decisions.push(Decision::ConfigurationHeldBack {
+        match self.routing.apply(object.position, cfg) {
+            Activation::Activated => {
+                let services = self.routing.configuration().named_services();
+                self.directory.set_services(services.cloned(), now);
+            }
+            Activation::HeldBack => self.decisions.push(Decision::ConfigurationHeldBack {
                 version,
                 active: self.routing.configuration().version,
                 position: object.position,
-            });
+            }),
+            Activation::Known => {}
         }
     }
 
--- a/src/core/steering/snapshots.rs
+++ b/src/core/steering/snapshots.rs
@@ -8,7 +8,10 @@
 use super::{
     Action,
     Steering,
-    decision::Source,
+    decision::{
+        Decision,
+        Source, //
+    },
     exchange::{
         SNAPSHOT_REQUEST_INTERVAL,
         TRANSIT_TIME, //
@@ -27,11 +30,13 @@
     store::{
         Change,
         Kind,
+        Malformed,
         Object,
         Position,
         Value, //
     },
-    store_reader::Update, //
+    store_reader::Update,
+    tag::BackendKey, //
 };
 use crate::kernel::clock::{
     Millis,
@@ -177,6 +182,21 @@
         }
     }
 
+    /// Returns whether a part of a snapshot can be used. An older build may take the
+    /// object of another program for that of a backend server and leave out what the
+    /// backend server has written, so this VM has to read the store itself.
+    fn is_usable(&mut self, part: &SnapshotPart) -> bool {
+        let Some(name) = find_misnamed(part) else {
+            return true;
+        };
+        self.decisions.push(Decision::Malformed(Malformed::Object {
+            subject: part.kind.subject(),
+            name: name.to_owned(),
+            error: "another VM takes it for a backend server; finish the roll-out".to_owned(),
+        }));
+        false
+    }
+
     /// Processes a snapshot that another VM made at `made_at`.
     fn on_snapshot(&mut self, snapshot: Snapshot, made_at: Time, now: Time) {
         for contact in &snapshot.contacts {
@@ -187,7 +207,7 @@
         for part in snapshot.parts {
             self.next_request[part.kind as usize] = now;
             let (kind, report) = (part.kind, part.report);
-            if report.position <= self.sync.get(kind).position {
+            if report.position <= self.sync.get(kind).position || !self.is_usable(&part) {
                 continue;
             }
             let as_of = made_at - report.age - TRANSIT_TIME;
@@ -198,6 +218,16 @@
     }
 }
 
+/// Returns the name of an object that cannot be that of the backend server it describes.
+fn find_misnamed(part: &SnapshotPart) -> Option<&str> {
+    let is_misnamed = |o: &&Object| {
+        let server = o.backend_server();
+        server.is_some_and(|s| BackendKey::of_name(&o.name) != Some(s.key))
+    };
+    let mut objects = part.objects.iter().chain(&part.removed);
+    objects.find(is_misnamed).map(|o| o.name.as_str())
+}
+
 /// Converts a part of a snapshot into an update.
 fn into_update(part: SnapshotPart) -> Update {
     if part.is_full {
--- a/src/core/steering/store.rs
+++ b/src/core/steering/store.rs
@@ -130,6 +130,16 @@
     pub idle_timeout: Millis,
 }
 
+impl Configuration {
+    /// Iterates over the services that are listed or get flows of a route, in any order
+    /// and possibly repeated.
+    pub fn named_services(&self) -> impl Iterator<Item = &ServiceId> {
+        let listed = self.services.iter().map(|s| &s.name);
+        let shares = self.routes.iter().flat_map(|r| &r.shares);
+        listed.chain(shares.map(|s| &s.service))
+    }
+}
+
 /// Parsed content of an object.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Value {
@@ -152,6 +162,16 @@
     pub value: Option<Value>,
 }
 
+impl Object {
+    /// Returns the backend server that the object describes, if it does.
+    pub fn backend_server(&self) -> Option<&BackendServer> {
+        match &self.value {
+            Some(Value::BackendServer(server)) => Some(server),
+            _ => None,
+        }
+    }
+}
+
 /// A change of an object.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
