Keep beside each backend server whether its service is named

Each new flow asks for the fitness of all candidates, so a look-up of the service in a set for each of them would cost each flow that. The answer changes only with the configuration or the object and is kept with the entry. The export of the directory gets a file of its own.

--- a/src/core/steering/directory/claims.rs
+++ b/src/core/steering/directory/claims.rs
@@ -34,6 +34,11 @@
 /// Services that the active configuration names. Empty before the first configuration.
 pub(super) type NamedServices = HashSet<ServiceId>;
 
+/// Returns whether the active configuration names a service, or there is none yet.
+pub(super) fn is_named(named: &NamedServices, service: &ServiceId) -> bool {
+    named.is_empty() || named.contains(service)
+}
+
 /// What an object says of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Claim<'a> {
--- a/src/core/steering/directory/mod.rs
+++ b/src/core/steering/directory/mod.rs
@@ -3,12 +3,14 @@
 use hashbrown::HashMap;
 
 mod claims;
+mod export;
 mod passed_over;
 mod resolution;
 
 use claims::{
     NamedServices,
-    Rivals, //
+    Rivals,
+    is_named, //
 };
 pub use passed_over::{
     PassedOver,
@@ -21,7 +23,6 @@
         Presence, //
     },
     evacuations::Evacuations,
-    exported::Exported,
     store::{
         BackendServer,
         Change,
@@ -117,8 +118,8 @@
     /// Returns the fitness of a backend server for new flows.
     pub fn fitness(&self, entry: &Entry, now: Time) -> Fitness {
         let data_centre = &entry.server.data_centre;
-        let has_route = self.is_named(&entry.server.service);
-        if !has_route || entry.server.draining || self.evacuations.is_evacuated(data_centre) {
+        let is_closed = !entry.is_service_named || entry.server.draining;
+        if is_closed || self.evacuations.is_evacuated(data_centre) {
             return Fitness::Unfit;
         }
         match entry.presence {
@@ -255,22 +256,33 @@
         }
         let service = entry.server.service.clone();
         entry.update(server, object.position, now);
-        self.move_to_pool(tag, &service, &server.service);
-        self.passed_over
-            .extend(self.report_unnamed(&object.name, &server.service));
+        self.follow_service(tag, Some(&service));
     }
 
     fn insert(&mut self, tag: Tag, server: &BackendServer, object: &Object, now: Time) {
         let entry = Entry::open(server, object, now);
         self.entries.insert(tag, entry);
         self.tags.insert(object.name.clone(), tag);
-        self.add_to_pool(tag, &server.service);
-        self.passed_over
-            .extend(self.report_unnamed(&object.name, &server.service));
+        self.follow_service(tag, None);
     }
 
-    fn add_to_pool(&mut self, tag: Tag, service: &ServiceId) {
-        let pool = self.pools.entry(service.clone()).or_default();
+    /// Follows a new state of a backend server, which had the service `before`.
+    fn follow_service(&mut self, tag: Tag, before: Option<&ServiceId>) {
+        let Some(entry) = self.entries.get_mut(&tag) else {
+            return;
+        };
+        let service = entry.server.service.clone();
+        entry.is_service_named = is_named(&self.named_services, &service);
+        if !entry.is_service_named {
+            self.passed_over.push(PassedOver::unnamed(entry));
+        }
+        if before == Some(&service) {
+            return;
+        }
+        if let Some(before) = before {
+            self.remove_from_pool(tag, before);
+        }
+        let pool = self.pools.entry(service).or_default();
         pool.push(tag);
         pool.sort_unstable();
     }
@@ -281,13 +293,6 @@
         }
     }
 
-    fn move_to_pool(&mut self, tag: Tag, from: &ServiceId, to: &ServiceId) {
-        if from != to {
-            self.remove_from_pool(tag, from);
-            self.add_to_pool(tag, to);
-        }
-    }
-
     /// Handles that an object does not describe a backend server. Stops new flows to
     /// the one that it described before, unless another object claims that, too.
     fn mark_unusable(&mut self, object: &Object, now: Time) {
@@ -349,10 +354,8 @@
                 _ => {}
             }
         }
-        for (tag, from) in moved {
-            if let Some(to) = self.entries.get(&tag).map(|e| e.server.service.clone()) {
-                self.move_to_pool(tag, &from, &to);
-            }
+        for (tag, service) in moved {
+            self.follow_service(tag, Some(&service));
         }
         for tag in expired {
             self.remove_entry(tag);
@@ -371,31 +374,4 @@
         self.tags.remove(&entry.name);
         self.remove_from_pool(tag, &entry.server.service);
     }
-
-    /// Exports the backend servers that changed after `since`, or all of them
-    /// if some of the changes are no longer known, or if the store was restored
-    /// before `as_of`, the position of this directory.
-    pub fn export(&self, since: Position, as_of: Position, now: Time) -> Exported {
-        let is_full = since < self.compacted || since.era < as_of.era || since == Position::NONE;
-        let is_wanted = |position: Position| is_full || position > since;
-        let mut exported = Exported {
-            is_full,
-            ..Exported::default()
-        };
-        for entry in self.entries.values() {
-            let is_listed = entry.presence == Presence::Listed;
-            if !is_wanted(entry.position) {
-                continue;
-            }
-            if is_listed {
-                exported.objects.push(entry.export(now));
-            } else if !is_full {
-                exported.removed.push(entry.export(now));
-            }
-        }
-        // Older builds keep the first object that they read of each tag.
-        let rivals = self.rivals.iter().filter(|o| is_wanted(o.position));
-        exported.objects.extend(rivals.cloned());
-        exported
-    }
 }
--- a/src/core/steering/directory/passed_over.rs
+++ b/src/core/steering/directory/passed_over.rs
@@ -2,7 +2,10 @@
 
 use derive_more::Display;
 
-use crate::core::names::ServiceId;
+use crate::core::{
+    names::ServiceId,
+    steering::directory_entry::Entry, //
+};
 
 /// An object that is passed over.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -13,6 +16,16 @@
     pub reason: PassedOverReason,
 }
 
+impl PassedOver {
+    /// Reports a backend server whose service the active configuration does not name.
+    pub(super) fn unnamed(entry: &Entry) -> PassedOver {
+        PassedOver {
+            name: entry.name.clone(),
+            reason: PassedOverReason::UnnamedService(entry.server.service.clone()),
+        }
+    }
+}
+
 /// Why an object is passed over.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum PassedOverReason {
--- a/src/core/steering/directory/resolution.rs
+++ b/src/core/steering/directory/resolution.rs
@@ -8,6 +8,7 @@
     claims::{
         Claim,
         NamedServices,
+        is_named,
         preferred, //
     }, //
 };
@@ -36,32 +37,19 @@
         if named == self.named_services {
             return;
         }
-        let before = std::mem::replace(&mut self.named_services, named);
-        let was_named = |service: &ServiceId| before.is_empty() || before.contains(service);
-        let objects = self.entries.values().map(|e| (&e.name, &e.server.service));
-        let unnamed: Vec<PassedOver> = objects
-            .filter(|(_, service)| was_named(service))
-            .filter_map(|(name, service)| self.report_unnamed(name, service))
-            .collect();
-        self.passed_over.extend(unnamed);
+        self.named_services = named;
+        for entry in self.entries.values_mut() {
+            let was_named = entry.is_service_named;
+            entry.is_service_named = is_named(&self.named_services, &entry.server.service);
+            if was_named && !entry.is_service_named {
+                self.passed_over.push(PassedOver::unnamed(entry));
+            }
+        }
         for tag in self.rivals.tags() {
             self.settle(tag, now);
         }
     }
 
-    /// Returns whether the active configuration names a service, or there is none yet.
-    pub(super) fn is_named(&self, service: &ServiceId) -> bool {
-        self.named_services.is_empty() || self.named_services.contains(service)
-    }
-
-    /// Reports an object if the configuration does not name its service.
-    pub(super) fn report_unnamed(&self, name: &str, service: &ServiceId) -> Option<PassedOver> {
-        (!self.is_named(service)).then(|| PassedOver {
-            name: name.to_owned(),
-            reason: PassedOverReason::UnnamedService(service.clone()),
-        })
-    }
-
     /// Keeps an object whose tag belongs to another one, and chooses between them.
     pub(super) fn add_rival(&mut self, tag: Tag, object: &Object, now: Time) {
         let known = self.rivals.position(&object.name);
@@ -175,9 +163,7 @@
         self.tags.insert(object.name.clone(), tag);
         let service = entry.server.service.clone();
         entry.replace(server, &object, now);
-        self.move_to_pool(tag, &service, &server.service);
-        self.passed_over
-            .extend(self.report_unnamed(&object.name, &server.service));
+        self.follow_service(tag, Some(&service));
         Some(before)
     }
 }
--- a/src/core/steering/directory_entry.rs
+++ b/src/core/steering/directory_entry.rs
@@ -62,6 +62,8 @@
     pub(super) name: String,
     /// Position of its object, or of the list that does not name it.
     pub(super) position: Position,
+    /// Whether the active configuration names its service.
+    pub(super) is_service_named: bool,
     /// Whether the last state of its object could be read.
     pub(super) is_readable: bool,
     /// Latest known start, in milliseconds since the Unix epoch. An object may lack its
@@ -92,6 +94,7 @@
             doubted: None,
             name: object.name.clone(),
             position: object.position,
+            is_service_named: true,
             is_readable: true,
             latest_start: server.started_unix_ms,
         }
