--- a/tests/steering_malformed.rs
+++ b/tests/steering_malformed.rs
@@ -18,7 +18,7 @@
     kernel::clock::Millis,
 };
 use dragonflytrack_testkit::steering::{
-    Simulation, data,
+    data,
     restores::{
         DATA_CENTRES,
         is_used,
@@ -51,9 +51,10 @@
     assert!(sim.decisions.iter().any(is_reported));
 }
 
-/// Writes an object in place of a backend server's own, which it writes again soon
-/// after. Returns its tag.
-fn overwrite_for_a_moment(sim: &mut Simulation, odd: &BackendServer) -> Tag {
+/// Checks that an object in place of a backend server's own, which it writes again soon
+/// after, resets no flow and that the backend server is used afterwards.
+fn assert_harmless_for_a_moment(odd: &BackendServer) {
+    let mut sim = start_sim();
     let tag = Tag::of(odd.key);
     for vm in 0..DATA_CENTRES.len() {
         let flow = data(5_000 + vm as u16, tag, 1, 500);
@@ -63,35 +64,28 @@
     sim.run(Millis(700));
     sim.put_backend(&server(1));
     sim.run(Millis(3_000));
-    tag
+    assert!(sim.resets.is_empty(), "{:?}", sim.resets);
+    assert!(is_used(&mut sim, tag));
 }
 
 /// An object with a service of another program in place of a backend server's own reset
 /// the flows of that backend server (review/2).
 #[test]
 fn another_service_resets_no_flow() {
-    let mut sim = start_sim();
-    let odd = BackendServer {
+    assert_harmless_for_a_moment(&BackendServer {
         service: ServiceId::new("inventory"),
         ..server(1)
-    };
-    let tag = overwrite_for_a_moment(&mut sim, &odd);
-    assert!(sim.resets.is_empty(), "{:?}", sim.resets);
-    assert!(is_used(&mut sim, tag));
+    });
 }
 
 /// An object without a start made the next one of the backend server itself count as a
 /// restart, which reset its flows (review/2 with VARIANT=born).
 #[test]
 fn an_object_without_a_start_resets_no_flow() {
-    let mut sim = start_sim();
-    let odd = BackendServer {
+    assert_harmless_for_a_moment(&BackendServer {
         started_unix_ms: 0,
         ..server(1)
-    };
-    let tag = overwrite_for_a_moment(&mut sim, &odd);
-    assert!(sim.resets.is_empty(), "{:?}", sim.resets);
-    assert!(is_used(&mut sim, tag));
+    });
 }
 
 /// A restart is still found behind such an object.
