--- a/src/core/steering/directory/claims.rs
+++ b/src/core/steering/directory/claims.rs
@@ -42,7 +42,9 @@
 /// What an object says of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Claim<'a> {
+    /// Name of the object.
     pub(super) name: &'a str,
+    /// What it says.
     pub(super) server: &'a BackendServer,
 }
 
@@ -65,6 +67,7 @@
                 Reverse(c.server.started_unix_ms),
                 // A run that drains does not return to service.
                 Reverse(c.server.draining),
+                // A name that holds another one is longer.
                 c.name.len(),
             )
         };
@@ -101,7 +104,7 @@
     by_key.into_iter().min_by(Claim::cmp_other_key)
 }
 
-/// Objects whose tag belongs to another object.
+/// Objects that claim a tag but do not count, because another one does.
 #[derive(Debug, Default)]
 pub(super) struct Rivals {
     /// Invariant: no list is empty, and each object describes a backend server with
--- a/src/core/steering/directory/mod.rs
+++ b/src/core/steering/directory/mod.rs
@@ -83,8 +83,11 @@
     /// States of a restored store that were doubted since the last call of
     /// [`Directory::take_doubted`].
     doubted: usize,
-    /// Objects whose tag belongs to the object of an entry.
+    /// Objects that claim the tag of an entry but do not count.
+    ///
+    /// Invariant: each has the tag of an entry that may hold flows.
     rivals: Rivals,
+    /// Services of the active configuration, which [`Entry::is_service_named`] follows.
     named_services: NamedServices,
     /// Objects that were passed over since the last call of
     /// [`Directory::take_passed_over`].
